--- /dev/null
+++ b/src/rhubarbway/decisions/arrival_budget.py
@@ -0,0 +1,92 @@
+"""How many attempts beyond the first one entry host may send to a service.
+
+All entry hosts share one limit in each sliding window: a share of the requests for the service,
+and a fixed allowance. They do not count together. Each host keeps to the same share of its own
+requests, and to its part of the allowance.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Part of the limit that is used. The rest covers requests that arrive outside the window in which
+# they were counted, and hosts that are not known to each other yet.
+USED_SHARE = 0.85
+
+
+class ServiceWindow:
+    """Instants of the requests and extra attempts of one service within the window."""
+
+    __slots__ = ("extras", "requests")
+
+    def __init__(self) -> None:
+        self.requests: deque[float] = deque()
+        self.extras: deque[float] = deque()
+
+
+class ArrivalBudget:
+    """Permits for extra attempts in a sliding window.
+
+    Parameters
+    ----------
+    ratio : float
+        Extra attempts allowed for each request of the window.
+    allowance : float
+        Extra attempts allowed besides, over all hosts.
+    window_s : float
+        Length of the window, seconds.
+
+    Examples
+    --------
+    >>> budget = ArrivalBudget(ratio=0.2, allowance=10, window_s=10.0)
+    >>> budget.hosts = 5
+    >>> [budget.take("desk", now=1.0) for _ in range(2)]
+    [True, False]
+    >>> for _ in range(12):
+    ...     budget.note_request("desk", now=1.0)
+    >>> [budget.take("desk", now=2.0) for _ in range(3)]
+    [True, True, False]
+    >>> budget.take("desk", now=12.5)
+    True
+    """
+
+    __slots__ = ("allowance", "hosts", "ratio", "services", "window_s")
+
+    def __init__(self, *, ratio: float, allowance: float, window_s: float) -> None:
+        self.ratio = ratio
+        self.allowance = allowance
+        self.window_s = window_s
+        self.hosts = 1
+        self.services: dict[str, ServiceWindow] = {}
+
+    def note_request(self, service: str, *, now: float) -> None:
+        """Count a request whose first attempt goes to the service."""
+        window = self.services.setdefault(service, ServiceWindow())
+        window.requests.append(now)
+        trim(window.requests, now - self.window_s)
+
+    def left(self, service: str, *, now: float) -> float:
+        """Return the number of extra attempts that the window still allows."""
+        window = self.services.setdefault(service, ServiceWindow())
+        trim(window.requests, now - self.window_s)
+        trim(window.extras, now - self.window_s)
+        allowed = self.ratio * len(window.requests) + self.allowance / max(1, self.hosts)
+        return USED_SHARE * allowed - len(window.extras)
+
+    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
+        """Count an extra attempt and return True, if more than ``reserve`` of them are left."""
+        if self.left(service, now=now) < 1.0 + reserve:
+            return False
+        self.services[service].extras.append(now)
+        return True
+
+    def keep_only(self, services: set[str]) -> None:
+        """Forget services that no route uses any more."""
+        for name in [name for name in self.services if name not in services]:
+            del self.services[name]
+
+
+def trim(instants: deque[float], oldest: float) -> None:
+    """Drop the instants up to ``oldest``."""
+    while instants and instants[0] <= oldest:
+        instants.popleft()
--- /dev/null
+++ b/src/rhubarbway/decisions/attempt_timing.py
@@ -0,0 +1,65 @@
+"""When a second attempt is sent, and when a partial answer is better than a late one."""
+
+from __future__ import annotations
+
+from rhubarbway.model import Route
+
+# Share of replies of a kind that come before a second attempt is sent.
+SECOND_ATTEMPT_QUANTILE = 0.9
+# Bounds of that instant, as shares of the target latency: no earlier, since the first attempt most
+# likely answers; no later, since the second one must still answer within the target.
+EARLIEST_SHARE = 0.12
+LATEST_SHARE = 0.45
+# Usual times after which the second attempt is sent before a quantile is known.
+UNKNOWN_FACTOR = 2.0
+# An answer leaves this long before the target, seconds: it travels to the caller and the caller
+# counted from before its request had arrived here.
+TARGET_MARGIN_S = 0.014
+# An answer leaves this long before the caller gives up, seconds.
+DEADLINE_MARGIN_S = 0.02
+# Past the target an answer is late anyway. It waits for missing shards for this share of the
+# target, since a caller who has waited gains more from a whole answer.
+LATE_SHARE = 1.0
+
+
+def second_attempt_delay(route: Route, *, quantile_s: float | None, usual_s: float) -> float:
+    """Return the time after which an unanswered attempt gets a second one, seconds.
+
+    Examples
+    --------
+    >>> route = Route(name="r", host="h", path_prefix="/", idempotent=True, timeout_s=1.0,
+    ...               target_s=0.1)
+    >>> second_attempt_delay(route, quantile_s=0.03, usual_s=0.01)
+    0.03
+    >>> round(second_attempt_delay(route, quantile_s=0.3, usual_s=0.01), 3)
+    0.045
+    """
+    wanted = quantile_s if quantile_s is not None else UNKNOWN_FACTOR * usual_s
+    earliest = EARLIEST_SHARE * route.target_s
+    return min(max(wanted, earliest), LATEST_SHARE * route.target_s)
+
+
+def partial_answer_at(route: Route, *, received_at: float, deadline: float, now: float) -> float:
+    """Return the next instant at which an answer with enough shards is sent as it is.
+
+    Until the target passes this is shortly before it; after that, one more share of the target
+    later, and at last shortly before the deadline.
+    """
+    at_target = received_at + route.target_s - TARGET_MARGIN_S
+    last = deadline - DEADLINE_MARGIN_S
+    if now <= at_target:
+        return min(at_target, last)
+    return min(at_target + LATE_SHARE * route.target_s, last)
+
+
+def covers_enough(route: Route, answered: int) -> bool:
+    """Whether a merged answer of this many shards is a success.
+
+    Examples
+    --------
+    >>> route = Route(name="r", host="h", path_prefix="/", idempotent=True, timeout_s=1.0,
+    ...               target_s=0.1, shards=tuple("abcdefghij"), min_coverage=0.89)
+    >>> covers_enough(route, 9), covers_enough(route, 8)
+    (True, False)
+    """
+    return answered > 0 and answered >= route.min_coverage * len(route.shards) - 1e-9
--- /dev/null
+++ b/src/rhubarbway/decisions/route_choice.py
@@ -0,0 +1,74 @@
+"""Which route serves a request, and which service of a weighted split it goes to."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from rhubarbway.model import Route
+
+
+class RouteIndex:
+    """Routes by host, longest path prefix first.
+
+    Examples
+    --------
+    >>> def route(name, prefix):
+    ...     return Route(name=name, host="a.example", path_prefix=prefix, idempotent=True,
+    ...                  timeout_s=1.0, target_s=0.1)
+    >>> index = RouteIndex([route("outer", "/lots/"), route("inner", "/lots/crates/")])
+    >>> index.match("a.example", "/lots/crates/7").name
+    'inner'
+    >>> index.match("a.example", "/lots") is None
+    True
+    """
+
+    __slots__ = ("by_host",)
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self.by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: len(route.path_prefix), reverse=True):
+            self.by_host.setdefault(route.host, []).append(route)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path, or None."""
+        routes = self.by_host.get(host, ())
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+
+class SplitSchedule:
+    """Deals requests to the parts of a split in proportion to their weights.
+
+    Each part collects credit by its weight, and the part with the most credit is next. The shares
+    hold over any short run of requests, which random choice would not give.
+
+    Examples
+    --------
+    >>> from rhubarbway.model import SplitPart
+    >>> parts = (SplitPart(service="a", weight=3), SplitPart(service="b", weight=1))
+    >>> schedule = SplitSchedule()
+    >>> [schedule.next_service("r", parts) for _ in range(4)]
+    ['a', 'a', 'b', 'a']
+    """
+
+    __slots__ = ("credits",)
+
+    def __init__(self) -> None:
+        self.credits: dict[str, dict[str, float]] = {}
+
+    def next_service(self, route: str, parts) -> str:
+        """Return the service of the next request on a route; the caller holds a lock."""
+        if len(parts) == 1:
+            return parts[0].service
+        credits = self.credits.get(route)
+        if credits is None or credits.keys() != {part.service for part in parts}:
+            credits = self.credits[route] = {part.service: 0.0 for part in parts}
+        for part in parts:
+            credits[part.service] += part.weight
+        chosen = max(parts, key=lambda part: credits[part.service]).service
+        credits[chosen] -= sum(part.weight for part in parts)
+        return chosen
+
+    def keep_only(self, routes: Iterable[str]) -> None:
+        """Forget routes that are gone."""
+        kept = set(routes)
+        self.credits = {name: value for name, value in self.credits.items() if name in kept}
--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -13,23 +13,29 @@
 import select
 import socket
 import threading
+from collections.abc import Iterator, Sequence
 
 import pycurl
 
 REPLY_LIMIT_BYTES = 4 * 1024 * 1024
 # Statuses whose responses have neither a body nor a length.
 BODYLESS_STATUSES = frozenset({204, 304})
-JSON_HEADERS = ["Content-Type: application/json", "Expect:", "Accept:", "User-Agent:"]
+# Headers that libcurl would add by itself; an empty value leaves them out.
+NO_OWN_HEADERS = ("Expect:", "Accept:", "User-Agent:")
+JSON_HEADERS = ("Content-Type: application/json",)
 
 
 class Reply:
-    """Status code and body of a response."""
+    """Status code, header lines and body of a response."""
 
-    __slots__ = ("body", "status")
+    __slots__ = ("body", "headers", "status")
 
-    def __init__(self, *, status: int, body: bytes) -> None:
+    def __init__(
+        self, *, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
         self.status = status
         self.body = body
+        self.headers = headers
 
 
 class CallError(Exception):
@@ -52,6 +58,45 @@
         self.timed_out = timed_out
 
 
+def missing_headers(headers: Sequence[str]) -> list[str]:
+    """Return the lines that keep libcurl from adding headers of its own.
+
+    Examples
+    --------
+    >>> missing_headers(["Accept: text/plain"])
+    ['Expect:', 'User-Agent:', 'Content-Type:']
+    """
+    given = {line.partition(":")[0].lower() for line in headers}
+    return [line for line in (*NO_OWN_HEADERS, "Content-Type:") if line[:-1].lower() not in given]
+
+
+def header_pairs(lines: Sequence[bytes]) -> Iterator[tuple[str, str]]:
+    """Yield name and value of each header line of a response.
+
+    Examples
+    --------
+    >>> list(header_pairs([b"Retry-After: 2\\r\\n", b"\\r\\n"]))
+    [('Retry-After', '2')]
+    """
+    for line in lines:
+        name, colon, value = line.decode("latin-1").partition(":")
+        if colon:
+            yield name.strip(), value.strip()
+
+
+def prepare_method(curl: pycurl.Curl, method: str, body: bytes) -> None:
+    """Set the method and body of the next request on a handle that is used again."""
+    curl.setopt(pycurl.HTTPGET, 1)
+    curl.unsetopt(pycurl.CUSTOMREQUEST)
+    if body or method == "POST":
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDS, body)
+    elif method == "HEAD":
+        curl.setopt(pycurl.NOBODY, 1)
+    if method not in ("GET", "HEAD", "POST") or (body and method != "POST"):
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+
+
 class HttpConnection:
     """One connection to one server, used by one task; ``abort`` may be called by any thread."""
 
@@ -60,6 +105,7 @@
         "address",
         "call_number",
         "curl",
+        "header_lines",
         "lock",
         "may_open",
         "sink",
@@ -74,6 +120,7 @@
         self.aborted_call = 0
         self.call_number = 0
         self.sink = io.BytesIO()
+        self.header_lines: list[bytes] = []
         self.curl = pycurl.Curl()
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -83,7 +130,8 @@
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self.open_socket)
         self.curl.setopt(pycurl.CLOSESOCKETFUNCTION, self.close_socket)
         self.curl.setopt(pycurl.WRITEFUNCTION, self.receive)
-        self.curl.setopt(pycurl.HTTPHEADER, JSON_HEADERS)
+        self.curl.setopt(pycurl.HEADERFUNCTION, self.receive_header)
+        self.curl.setopt(pycurl.PATH_AS_IS, 1)
 
     def open_socket(self, purpose, address):
         """Open the socket that libcurl asks for, or refuse after the request was started."""
@@ -106,6 +154,13 @@
             return 1
         return 0
 
+    def receive_header(self, line: bytes) -> None:
+        """Collect a header line; a status line starts anew, after an interim response."""
+        if line.startswith(b"HTTP/"):
+            self.header_lines = []
+        else:
+            self.header_lines.append(line)
+
     def receive(self, data: bytes) -> int | None:
         """Collect response bytes up to the limit; a short count makes libcurl stop."""
         if self.sink.tell() + len(data) > REPLY_LIMIT_BYTES:
@@ -144,6 +199,40 @@
         timeout_s : float
             Time limit of the whole call, seconds.
 
+        Raises
+        ------
+        CallError
+            If no whole response arrived.
+        """
+        return self.exchange(
+            method, path, headers=JSON_HEADERS, body=body or b"", timeout_s=timeout_s
+        )
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Sequence[str],
+        body: bytes,
+        timeout_s: float,
+        connect_timeout_s: float | None = None,
+    ) -> Reply:
+        """Send one request with exactly these headers and return the whole response.
+
+        Parameters
+        ----------
+        method, target : str
+            Request method, and path and query as they are sent.
+        headers : sequence of str
+            Header lines, ``Name: value``; the length is added.
+        body : bytes
+            Whole body; empty for none.
+        timeout_s : float
+            Time limit of the whole call, seconds.
+        connect_timeout_s : float, optional
+            Time limit of a new connection, seconds; by default that of the call.
+
         Raises
         ------
         CallError
@@ -158,19 +247,24 @@
             if self.aborted_call == self.call_number:
                 raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
         self.sink = io.BytesIO()
-        curl.setopt(pycurl.URL, f"http://{self.address}{path}")
+        self.header_lines = []
+        curl.setopt(pycurl.URL, f"http://{self.address}/")
+        curl.setopt(pycurl.REQUEST_TARGET, target)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-        if method == "POST":
-            curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.POSTFIELDS, body or b"")
-        else:
-            curl.setopt(pycurl.HTTPGET, 1)
+        connect_s = timeout_s if connect_timeout_s is None else min(connect_timeout_s, timeout_s)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(connect_s * 1000)))
+        curl.setopt(pycurl.HTTPHEADER, [*headers, *missing_headers(headers)])
+        prepare_method(curl, method, body)
         try:
             curl.perform()
         except pycurl.error as error:
             raise self.call_error(error) from None
-        reply = Reply(status=curl.getinfo(pycurl.RESPONSE_CODE), body=self.sink.getvalue())
-        if not reply.body and reply.status not in BODYLESS_STATUSES:
+        reply = Reply(
+            status=curl.getinfo(pycurl.RESPONSE_CODE),
+            body=self.sink.getvalue(),
+            headers=tuple(header_pairs(self.header_lines)),
+        )
+        if not reply.body and reply.status not in BODYLESS_STATUSES and method != "HEAD":
             self.check_length()
         return reply
 
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -20,6 +20,8 @@
 import h11
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.model import CallerLimits
+
 HEADER_LIMIT_BYTES = 16 * 1024
 BODY_LIMIT_BYTES = 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
@@ -37,6 +39,16 @@
 # Pause after a failed accept, for example when the process has no file descriptor left.
 ACCEPT_PAUSE_S = 0.1
 
+DEFAULT_LIMITS = CallerLimits(
+    head_bytes=HEADER_LIMIT_BYTES,
+    body_bytes=BODY_LIMIT_BYTES,
+    head_timeout_s=REQUEST_TIMEOUT_S,
+    idle_timeout_s=IDLE_TIMEOUT_S,
+)
+
+# Key of the ``h11.Request`` in the environment, for an application that passes requests on
+# unchanged.
+HEAD_KEY = "rhubarbway.head"
 # Key of the connection's socket in the environment, for an application that watches for its end.
 SOCKET_KEY = "rhubarbway.socket"
 
@@ -85,6 +97,8 @@
         Connections served at a time; further ones are answered with 503 and closed.
     name : str
         Prefix of the thread names.
+    limits : callable
+        Returns the bounds that hold for the next request.
     """
 
     __slots__ = (
@@ -97,6 +111,7 @@
         "executor",
         "idle",
         "leaving",
+        "limits",
         "listener",
         "lock",
         "max_connections",
@@ -112,7 +127,9 @@
         error_app: ErrorApp,
         max_connections: int,
         name: str,
+        limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
     ) -> None:
+        self.limits = limits
         self.app = app
         self.error_app = error_app
         self.max_connections = max_connections
@@ -190,7 +207,7 @@
 
     def serve_connection(self, state: ConnectionState) -> None:
         """Answer requests on one connection until either side closes it."""
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits().head_bytes)
         try:
             while self.serve_request(state, connection):
                 connection.start_next_cycle()
@@ -217,6 +234,7 @@
             return False
         environ = wsgi_environ(head, body, state.peer)
         environ[SOCKET_KEY] = state.sock
+        environ[HEAD_KEY] = head
         response = self.app(Request(environ))
         if head.method == b"HEAD":
             response.headers["Content-Length"] = str(len(response.get_data()))
@@ -253,7 +271,8 @@
         head: h11.Request | None = None
         chunks: list[bytes] = []
         size = 0
-        end = time.monotonic() + IDLE_TIMEOUT_S
+        limits = self.limits()
+        end = time.monotonic() + limits.idle_timeout_s
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
@@ -264,18 +283,17 @@
                 data = self.received(state, end)
                 if data and not state.busy:
                     state.busy = True
-                    end = time.monotonic() + REQUEST_TIMEOUT_S
+                    end = time.monotonic() + limits.head_timeout_s
                 connection.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                if not state.busy:
-                    state.busy = True
-                    end = time.monotonic() + REQUEST_TIMEOUT_S
-                check_framing(head)
+                state.busy = True
+                end = time.monotonic() + REQUEST_TIMEOUT_S
+                check_framing(head, limits)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > BODY_LIMIT_BYTES:
-                    raise RequestTooLarge(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+                if size > limits.body_bytes:
+                    raise RequestTooLarge(f"the body exceeds {limits.body_bytes} bytes")
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return head, b"".join(chunks)
@@ -306,7 +324,7 @@
         if ready:
             return state.sock.recv(RECEIVE_BYTES)
         if state.busy:
-            raise RequestTooSlow(f"the request was not complete after {REQUEST_TIMEOUT_S:g} s")
+            raise RequestTooSlow("the request was not complete in time")
         return b""
 
     def send(
@@ -364,7 +382,7 @@
         return cut
 
 
-def check_framing(head: h11.Request) -> None:
+def check_framing(head: h11.Request, limits: CallerLimits) -> None:
     """Refuse a head that is too large or states the length of the body in two ways.
 
     h11 limits only a head that arrives in parts, not one that comes whole in one read. A load
@@ -378,9 +396,9 @@
         If the stated length exceeds the limit; the body is not read then.
     """
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
-    if size > HEADER_LIMIT_BYTES:
+    if size > limits.head_bytes:
         raise h11.RemoteProtocolError(
-            f"the head exceeds {HEADER_LIMIT_BYTES} bytes", error_status_hint=431
+            f"the head exceeds {limits.head_bytes} bytes", error_status_hint=431
         )
     headers = dict(head.headers)
     length = headers.get(b"content-length")
@@ -388,8 +406,8 @@
         return
     if b"transfer-encoding" in headers:
         raise h11.RemoteProtocolError("Content-Length and Transfer-Encoding exclude each other")
-    if int(length) > BODY_LIMIT_BYTES:
-        raise RequestTooLarge(f"the body exceeds {BODY_LIMIT_BYTES} bytes")
+    if int(length) > limits.body_bytes:
+        raise RequestTooLarge(f"the body exceeds {limits.body_bytes} bytes")
 
 
 def shutdown_socket(sock: socket.socket) -> None:
--- /dev/null
+++ b/src/rhubarbway/gateway.py
@@ -0,0 +1,102 @@
+"""The daemon of an entry host on the users' platform: forwards requests along a routing table."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+from returns.result import Result, Success
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import Finding
+from rhubarbway.platform.consumers import request_of, response_of
+from rhubarbway.platform.replicas import reply_of, request_lines
+from rhubarbway.platform.store import StoreClient
+from rhubarbway.services.forwarding import ForwardingService
+from rhubarbway.services.gateway import GatewayService
+from rhubarbway.services.log import LogService, part_logger
+from rhubarbway.services.names import (
+    FORWARDING,
+    GATEWAY,
+    LOG,
+    REGISTRY,
+    ROUTING,
+    SERVERS,
+)
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.routing import RoutingService
+from rhubarbway.services.server_pool import ReplicaDialect
+from rhubarbway.services.servers import ServerService
+from rhubarbway.settings import GatewaySettings, gateway_settings_from_bytes
+
+SETTINGS_VARIABLE = "RHUBARBWAY_CONFIG"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNALS = (signal.SIGHUP,)
+
+
+def kernel_of(settings: GatewaySettings) -> Kernel:
+    """Return a kernel with all services of a gateway, not yet started."""
+    kernel = Kernel()
+    kernel.register(LOG, LogService(level=settings.log_level))
+    kernel.register(ROUTING, RoutingService())
+    kernel.register(
+        SERVERS, ServerService(dialect=ReplicaDialect(encode=request_lines, decode=reply_of))
+    )
+    budget = ArrivalBudget(
+        ratio=settings.retry_ratio,
+        allowance=settings.retry_allowance,
+        window_s=settings.retry_window_s,
+    )
+    kernel.register(FORWARDING, ForwardingService(zone=settings.zone, budget=budget))
+    kernel.register(
+        REGISTRY, RegistryService(make_client=lambda: StoreClient(address=settings.store))
+    )
+    kernel.register(
+        GATEWAY,
+        GatewayService(
+            listen=settings.listen,
+            ready_listen=settings.ready_listen,
+            grace_s=settings.grace_s,
+            max_connections=settings.max_connections,
+            decode=request_of,
+            encode=response_of,
+        ),
+    )
+    return kernel
+
+
+def read_settings(path: Path) -> Result[GatewaySettings, list[Finding]]:
+    """Return the settings of a file, or all findings."""
+    return gateway_settings_from_bytes(path.read_bytes(), source=str(path))
+
+
+def main() -> None:
+    """Run until SIGTERM or SIGINT, then stop gracefully."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "settings.json"))
+    try:
+        result = read_settings(path)
+    except OSError as error:
+        sys.exit(f"{path}: {error.strerror}")
+    if not isinstance(result, Success):
+        sys.exit("\n".join(str(finding) for finding in result.failure()))
+    # Threads inherit this mask, so that only ``sigwait`` takes the signals.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, *RELOAD_SIGNALS))
+    settings = result.unwrap()
+    kernel = kernel_of(settings)
+    kernel.start()
+    log = part_logger("gateway")
+    log.info("Started.", host=settings.name, zone=settings.zone)
+    while signal.sigwait((*STOP_SIGNALS, *RELOAD_SIGNALS)) in RELOAD_SIGNALS:
+        log.info("Settings read again.", usable=isinstance(read_settings(path), Success))
+    kernel.stop()
+    log.info("Stopped.", host=settings.name)
+    # Connection tasks that wait for a server would hold the interpreter until their time limit.
+    sys.stdout.flush()
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rhubarbway/model/__init__.py
+++ b/src/rhubarbway/model/__init__.py
@@ -1,8 +1,16 @@
 """Slotted classes that all parts share."""
 
 from rhubarbway.model.answer import Answer, Coverage, MissingShard, MissReason, ShardAnswer
+from rhubarbway.model.backend_server import BackendServer
 from rhubarbway.model.failure import Failure, FailureKind, Ran
 from rhubarbway.model.finding import Finding
+from rhubarbway.model.forwarding import (
+    ExchangeEnd,
+    ExchangeOutcome,
+    ForwardedAnswer,
+    ForwardedRequest,
+    ReplicaReply,
+)
 from rhubarbway.model.identity import AttemptId, HostIdentity
 from rhubarbway.model.manifest import (
     CanaryMode,
@@ -20,17 +28,24 @@
 from rhubarbway.model.membership import ListedHost, MemberRecord, MemberState, VersionReport
 from rhubarbway.model.outcome import AttemptOutcome, OutcomeKind
 from rhubarbway.model.query import Query, SubQuery
+from rhubarbway.model.route import CallerLimits, Route, RoutingTable, SplitPart
 
 __all__ = [
     "Answer",
     "AttemptId",
     "AttemptOutcome",
+    "BackendServer",
+    "CallerLimits",
     "CanaryMode",
     "Coverage",
     "EntryHost",
+    "ExchangeEnd",
+    "ExchangeOutcome",
     "Failure",
     "FailureKind",
     "Finding",
+    "ForwardedAnswer",
+    "ForwardedRequest",
     "HostIdentity",
     "JobPrefix",
     "ListedHost",
@@ -46,9 +61,13 @@
     "Query",
     "Ran",
     "Replica",
+    "ReplicaReply",
+    "Route",
+    "RoutingTable",
     "Service",
     "Shard",
     "ShardAnswer",
+    "SplitPart",
     "SubQuery",
     "Tenant",
     "VersionReport",
--- /dev/null
+++ b/src/rhubarbway/model/forwarding.py
@@ -0,0 +1,179 @@
+"""A forwarded request, what a replica made of it, and the answer to the caller."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from rhubarbway.model.failure import Ran
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class ForwardedRequest:
+    """A caller's request on its way to one or several replicas.
+
+    Attributes
+    ----------
+    request_id : str
+        Name of the caller's attempt, passed on unchanged.
+    method, target, host : str
+        Method, path with query, and host as the caller sent them.
+    headers : tuple of (str, str)
+        End-to-end headers, without those that the wire format sets itself.
+    body : bytes
+        Whole body.
+    received_at, deadline : float
+        ``time.monotonic()`` instants at which the request was read and the caller gives up.
+    """
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "headers",
+        "host",
+        "method",
+        "path",
+        "received_at",
+        "request_id",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        method: str,
+        target: str,
+        host: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        received_at: float,
+        deadline: float,
+    ) -> None:
+        self.request_id = request_id
+        self.method = method
+        self.target = target
+        self.path = target.partition("?")[0]
+        self.host = host
+        self.headers = headers
+        self.body = body
+        self.received_at = received_at
+        self.deadline = deadline
+
+
+class ReplicaReply:
+    """A whole reply of a replica.
+
+    ``proof`` is the replica's own mark of the reply, empty if it has none. ``ran`` is ``NOT_RUN``
+    if the replica states so. ``leaving`` is true if the replica closes the connection.
+    """
+
+    __slots__ = ("body", "headers", "idle_s", "leaving", "misdirected", "proof", "ran", "status")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        proof: str,
+        ran: Ran,
+        misdirected: bool = False,
+        leaving: bool = False,
+        idle_s: float | None = None,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.proof = proof
+        self.ran = ran
+        self.misdirected = misdirected
+        self.leaving = leaving
+        self.idle_s = idle_s
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the reply is a success that carries its proof."""
+        return 200 <= self.status < 300 and self.proof != ""
+
+
+class ExchangeEnd(Enum):
+    """How an attempt at one replica ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    MISDIRECTED = "misdirected"
+    CONNECT_FAILED = "connect_failed"
+    LOST = "lost"
+    TIMED_OUT = "timed_out"
+    FOREIGN = "foreign"
+    CANCELLED = "cancelled"
+
+
+class ExchangeOutcome:
+    """The end of one attempt; ``shard`` is the service and ``latency`` is in seconds."""
+
+    __slots__ = ("attempt", "detail", "end", "latency", "ran", "reply", "server", "shard")
+
+    def __init__(
+        self,
+        *,
+        attempt: int,
+        shard: str,
+        server: str,
+        end: ExchangeEnd,
+        ran: Ran,
+        latency: float,
+        reply: ReplicaReply | None = None,
+        detail: str = "",
+    ) -> None:
+        self.attempt = attempt
+        self.shard = shard
+        self.server = server
+        self.end = end
+        self.ran = ran
+        self.latency = latency
+        self.reply = reply
+        self.detail = detail
+
+
+class ForwardedAnswer:
+    """The answer to a caller.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    reply : ReplicaReply or None
+        The replica's reply that is passed on unchanged.
+    proofs : tuple of str
+        Proofs of the parts of a merged answer.
+    missing : int
+        Shards that a merged answer lacks.
+    retry_after_s : float or None
+        When a refused caller may come back, seconds.
+    detail : str
+        Reason of a failure of this host's own.
+    """
+
+    __slots__ = ("body", "detail", "missing", "proofs", "reply", "retry_after_s", "status")
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        body: bytes = b"",
+        reply: ReplicaReply | None = None,
+        proofs: tuple[str, ...] = (),
+        missing: int = 0,
+        retry_after_s: float | None = None,
+        detail: str = "",
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.reply = reply
+        self.proofs = proofs
+        self.missing = missing
+        self.retry_after_s = retry_after_s
+        self.detail = detail
--- /dev/null
+++ b/src/rhubarbway/platform/entries.py
@@ -0,0 +1,52 @@
+"""Entries of the platform's registry as backend servers."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from rhubarbway.model import BackendServer, Finding
+
+# Prefix of the keys of replicas; the id follows.
+ENTRY_PREFIX = "servers/"
+
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class WireEntry(msgspec.Struct, rename="camel"):
+    """What a replica says about itself; ``born`` is the Unix millisecond of its start."""
+
+    service: Name
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    # How much longer the replica is slow after its start.
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    born: int = 0
+
+
+DECODER = msgspec.json.Decoder(WireEntry)
+
+
+def server_of(key: str, value: bytes) -> Result[BackendServer, Finding]:
+    """Return the server that an entry describes, or why it describes none."""
+    server_id = key.removeprefix(ENTRY_PREFIX)
+    try:
+        wire = DECODER.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(Finding(place=key, problem=str(error)))
+    return Success(
+        BackendServer(
+            id=server_id,
+            service=wire.service,
+            address=wire.address,
+            zone=wire.zone,
+            slots=wire.slots,
+            draining=wire.state == "draining",
+            warm_up_s=wire.warmup_left_ms / 1000,
+            started_ms=wire.born,
+        )
+    )
--- /dev/null
+++ b/src/rhubarbway/platform/headers.py
@@ -0,0 +1,60 @@
+"""Header names of the platform, and which headers concern only one connection."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+
+REQUEST_ID = "X-Request-Id"
+# Milliseconds that the sender will wait.
+DEADLINE_MS = "X-Deadline-Ms"
+# Id of the replica that a request is meant for; any other one answers 421.
+EXPECTED_SERVER = "X-Expect-Instance"
+# A replica's proof that the reply is its own, and to which request.
+PROOF = "X-Server-Stamp"
+# Present if the replica states that it has not run the request.
+NOT_RUN = "X-Not-Executed"
+# Proofs of the parts of a merged answer, and the number of shards that it lacks.
+PART_PROOFS = "X-Part-Stamps"
+MISSING_PARTS = "X-Missing-Shards"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that this host sets itself on the way to a replica, or that frame the message.
+OWN_HEADERS = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "host",
+    REQUEST_ID.lower(),
+    DEADLINE_MS.lower(),
+    EXPECTED_SERVER.lower(),
+}
+
+
+def connection_options(headers: Mapping[str, str]) -> frozenset[str]:
+    """Return the header names that ``Connection`` declares as hop-by-hop.
+
+    Examples
+    --------
+    >>> sorted(connection_options({"connection": "close, X-Hop"}))
+    ['close', 'x-hop']
+    """
+    names = headers.get("connection", "").split(",")
+    return frozenset(name.strip().lower() for name in names if name.strip())
+
+
+def end_to_end(
+    pairs: Iterable[tuple[str, str]], *, without: Collection[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers whose lower-case names are not in ``without``."""
+    return tuple((name, value) for name, value in pairs if name.lower() not in without)
--- /dev/null
+++ b/src/rhubarbway/services/caller_inbox.py
@@ -0,0 +1,78 @@
+"""Where the task of a caller's connection waits for outcomes and for the end of its caller."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import select
+import socket
+from collections import deque
+
+from rhubarbway.model import ExchangeOutcome
+
+
+class CallerInbox:
+    """Outcomes for one request; the wait ends early when the caller closes its connection.
+
+    Parameters
+    ----------
+    sock : socket.socket or None
+        The caller's connection; None for requests without one.
+    """
+
+    __slots__ = ("caller_left", "event", "outcomes", "poll", "sock")
+
+    def __init__(self, *, sock: socket.socket | None) -> None:
+        self.sock = sock
+        self.outcomes: deque[ExchangeOutcome] = deque()
+        self.event: int | None = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self.caller_left = False
+        self.poll = select.poll()
+        self.poll.register(self.event, select.POLLIN)
+        if sock is not None:
+            self.poll.register(sock, select.POLLIN)
+
+    def put(self, outcome: ExchangeOutcome) -> None:
+        """Add an outcome; called by connection tasks, also after the request has ended."""
+        self.outcomes.append(outcome)
+        event = self.event
+        if event is not None:
+            try:
+                os.eventfd_write(event, 1)
+            except OSError:
+                # Closed since the check: the request has ended and nobody waits.
+                return
+
+    def take(self, timeout_s: float) -> list[ExchangeOutcome]:
+        """Wait for outcomes, the end of the caller or the time limit; return the outcomes."""
+        if not self.outcomes and timeout_s > 0.0:
+            for descriptor, _ in self.poll.poll(timeout_s * 1000):
+                if descriptor != self.event:
+                    self.look_at_caller()
+        taken = []
+        while self.outcomes:
+            taken.append(self.outcomes.popleft())
+        if taken and self.event is not None:
+            # The event is not written yet if the outcome was added just now.
+            with contextlib.suppress(BlockingIOError):
+                os.eventfd_read(self.event)
+        return taken
+
+    def look_at_caller(self) -> None:
+        """Tell the end of the caller's connection from a next request that was sent early."""
+        assert self.sock is not None
+        try:
+            data = self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.caller_left = True
+        self.poll.unregister(self.sock)
+
+    def close(self) -> None:
+        """Release the event; later outcomes are dropped."""
+        event, self.event = self.event, None
+        if event is not None:
+            os.close(event)
--- /dev/null
+++ b/src/rhubarbway/services/forward_run.py
@@ -0,0 +1,393 @@
+"""One forwarded request, run in the task of its caller's connection."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.decisions.attempt_timing import covers_enough, partial_answer_at
+from rhubarbway.decisions.forward_answers import failed_answer, merged_answer, passed_on_answer
+from rhubarbway.decisions.server_state import ranked_states
+from rhubarbway.model import (
+    ExchangeEnd,
+    ExchangeOutcome,
+    ForwardedAnswer,
+    ForwardedRequest,
+    Ran,
+    ReplicaReply,
+    Route,
+)
+from rhubarbway.services.caller_inbox import CallerInbox
+from rhubarbway.services.server_pool import ServerAttempt, ServerPool
+
+# Attempts beyond the first that stay reserved for failures, so that slow servers do not use up
+# what lost requests need.
+FAILURE_RESERVE = 1.0
+# Random part of the rank of a server, so that hosts with the same knowledge do not all choose the
+# same one.
+RANK_SPREAD = 0.1
+# Additional round trip to another zone, seconds; the users' zones lie 3 to 4.4 ms apart one way.
+ZONE_DISTANCE_S = 0.008
+
+
+class ShardRun:
+    """What one request has done at one service.
+
+    Attributes
+    ----------
+    sent : int
+        Attempts that count against the route's limit.
+    running : dict of int to ServerAttempt
+        Unanswered attempts by number.
+    reply : ReplicaReply or None
+        The reply that the answer uses.
+    failure : ReplicaReply or None
+        The last reply that was no success.
+    second_at : float
+        Instant at which an unanswered first attempt gets a second one.
+    given_up : bool
+        True if nothing is running and nothing more will be sent.
+    """
+
+    __slots__ = (
+        "failure",
+        "given_up",
+        "ran",
+        "reply",
+        "running",
+        "second_at",
+        "sent",
+        "service",
+        "tried",
+    )
+
+    def __init__(self, *, service: str) -> None:
+        self.service = service
+        self.tried: set[str] = set()
+        self.running: dict[int, ServerAttempt] = {}
+        self.sent = 0
+        self.reply: ReplicaReply | None = None
+        self.failure: ReplicaReply | None = None
+        self.second_at = float("inf")
+        self.given_up = False
+        self.ran = Ran.NOT_RUN
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a reply may still come."""
+        return self.reply is None and not self.given_up
+
+
+class ForwardingTools:
+    """What all running requests of a host share.
+
+    Attributes
+    ----------
+    pools_of : callable
+        Returns the pools of a service.
+    zone : str
+        Zone of this host.
+    budget : ArrivalBudget
+        Limit of attempts beyond the first.
+    next_number : callable
+        Returns a fresh number of an attempt.
+    second_attempt_delay, usual_s : callable
+        Learnt times of a route, seconds.
+    log : logger
+        Takes one line for each decision.
+    """
+
+    __slots__ = (
+        "budget",
+        "log",
+        "next_number",
+        "pools_of",
+        "random",
+        "second_attempt_delay",
+        "usual_s",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        pools_of: Callable[[str], list[ServerPool]],
+        zone: str,
+        budget: ArrivalBudget,
+        next_number: Callable[[], int],
+        second_attempt_delay: Callable[[Route], float],
+        usual_s: Callable[[Route], float],
+        random: Random,
+        log,
+    ) -> None:
+        self.pools_of = pools_of
+        self.zone = zone
+        self.budget = budget
+        self.next_number = next_number
+        self.second_attempt_delay = second_attempt_delay
+        self.usual_s = usual_s
+        self.random = random
+        self.log = log
+
+
+class ForwardRun:
+    """State of one running request.
+
+    Parameters
+    ----------
+    request : ForwardedRequest
+        The caller's request.
+    route : Route
+        Its route, from the routing table in force when it was read.
+    services : tuple of str
+        The shards of the route, or the one service that the request goes to.
+    inbox : CallerInbox
+        Where outcomes arrive.
+    tools : ForwardingTools
+        What all requests share.
+    """
+
+    __slots__ = (
+        "attempt_deadline",
+        "deadline",
+        "inbox",
+        "is_fan_out",
+        "request",
+        "route",
+        "second_delay_s",
+        "shards",
+        "tools",
+        "usual_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: ForwardedRequest,
+        route: Route,
+        services: tuple[str, ...],
+        inbox: CallerInbox,
+        tools: ForwardingTools,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.inbox = inbox
+        self.tools = tools
+        self.is_fan_out = bool(route.shards)
+        self.deadline = min(request.deadline, request.received_at + route.timeout_s)
+        self.shards = {service: ShardRun(service=service) for service in services}
+        self.usual_s = tools.usual_s(route)
+        self.second_delay_s = tools.second_attempt_delay(route)
+        # The answer of a fan-out leaves at the latest then, and servers need not work any longer.
+        self.attempt_deadline = (
+            partial_answer_at(
+                route,
+                received_at=request.received_at,
+                deadline=self.deadline,
+                now=self.deadline,
+            )
+            if self.is_fan_out
+            else self.deadline
+        )
+
+    def run(self) -> ForwardedAnswer | None:
+        """Run the request and return its answer, or None if the caller has left."""
+        for shard in self.shards.values():
+            self.tools.budget.note_request(shard.service, now=time.monotonic())
+            self.send_first(shard)
+        while not self.is_finished():
+            now = time.monotonic()
+            end = self.end_of_wait(now)
+            if now >= end:
+                break
+            second_at = min((shard.second_at for shard in self.open_shards()), default=end)
+            for outcome in self.inbox.take(min(end, second_at) - now):
+                self.take(outcome)
+            if self.inbox.caller_left:
+                self.abandon()
+                return None
+            self.send_second_attempts(time.monotonic())
+        return self.answer()
+
+    def open_shards(self) -> list[ShardRun]:
+        """Return the shards from which a reply may still come."""
+        return [shard for shard in self.shards.values() if shard.is_open]
+
+    def is_finished(self) -> bool:
+        """Whether no further reply can change the answer."""
+        open_count = 0
+        answered = 0
+        for shard in self.shards.values():
+            open_count += shard.is_open
+            answered += shard.reply is not None
+        if open_count == 0:
+            return True
+        return self.is_fan_out and not covers_enough(self.route, answered + open_count)
+
+    def answered(self) -> int:
+        """Return the number of shards with a reply."""
+        return sum(shard.reply is not None for shard in self.shards.values())
+
+    def end_of_wait(self, now: float) -> float:
+        """Return the instant at which the answer leaves, whatever is still missing."""
+        if self.is_fan_out and covers_enough(self.route, self.answered()):
+            return partial_answer_at(
+                self.route,
+                received_at=self.request.received_at,
+                deadline=self.deadline,
+                now=now,
+            )
+        return self.attempt_deadline if self.is_fan_out else self.deadline
+
+    def chosen_pool(self, shard: ShardRun) -> ServerPool | None:
+        """Return the pool with the least expected time among those not tried, or None."""
+        pools = {
+            pool.server.id: pool
+            for pool in self.tools.pools_of(shard.service)
+            if pool.server.id not in shard.tried
+        }
+        spread = {key: 1.0 + RANK_SPREAD * self.tools.random.random() for key in pools}
+        ranked = ranked_states(
+            [pool.state for pool in pools.values()],
+            zone=self.tools.zone,
+            usual_s=self.usual_s,
+            distance_s=ZONE_DISTANCE_S,
+            now=time.monotonic(),
+            spread=spread,
+        )
+        return pools[ranked[0].server.id] if ranked else None
+
+    def send_first(self, shard: ShardRun) -> None:
+        """Send the first attempt of a shard, or give it up if no server is known."""
+        pool = self.chosen_pool(shard)
+        if pool is None:
+            shard.given_up = True
+            self.note("No server is known.", shard)
+            return
+        self.send(shard, pool)
+        if self.route.idempotent and self.route.max_attempts > 1:
+            shard.second_at = time.monotonic() + self.second_delay_s
+
+    def send(self, shard: ShardRun, pool: ServerPool) -> None:
+        """Hand one attempt to a pool."""
+        attempt = ServerAttempt(
+            number=self.tools.next_number(),
+            request=self.request,
+            shard=shard.service,
+            kind=self.route.name,
+            deadline=self.attempt_deadline,
+            usual_s=self.usual_s,
+            deliver=self.inbox.put,
+        )
+        shard.sent += 1
+        shard.tried.add(pool.server.id)
+        shard.running[attempt.number] = attempt
+        pool.submit(attempt)
+
+    def send_second_attempts(self, now: float) -> None:
+        """Send a second attempt for each shard whose first one is late."""
+        for shard in self.open_shards():
+            if now < shard.second_at:
+                continue
+            shard.second_at = float("inf")
+            if self.send_again(shard, reserve=FAILURE_RESERVE):
+                self.note("Second attempt for a late reply.", shard, after_s=self.second_delay_s)
+
+    def send_again(self, shard: ShardRun, *, reserve: float = 0.0) -> bool:
+        """Send a further attempt if the route, the budget and the servers allow one."""
+        if shard.sent >= self.route.max_attempts:
+            return False
+        pool = self.chosen_pool(shard)
+        now = time.monotonic()
+        if pool is None or now >= self.attempt_deadline or pool.state.ejected(now):
+            return False
+        if not self.tools.budget.take(shard.service, now=now, reserve=reserve):
+            self.note("No further attempt: the budget is used up.", shard)
+            return False
+        self.send(shard, pool)
+        return True
+
+    def take(self, outcome: ExchangeOutcome) -> None:
+        """Use the outcome of an attempt."""
+        shard = self.shards[outcome.shard]
+        shard.running.pop(outcome.attempt, None)
+        if outcome.ran is not Ran.NOT_RUN:
+            shard.ran = Ran.RUN if outcome.ran is Ran.RUN else Ran.UNKNOWN
+        if outcome.end in (ExchangeEnd.CONNECT_FAILED, ExchangeEnd.MISDIRECTED):
+            # Nothing of the request reached a server of this service.
+            shard.sent -= 1
+        if shard.reply is not None:
+            return
+        if self.is_usable(outcome):
+            shard.reply = outcome.reply
+            return
+        if outcome.reply is not None:
+            shard.failure = outcome.reply
+        self.note(
+            "Attempt without an answer.",
+            shard,
+            server=outcome.server,
+            end=outcome.end.value,
+            ran=outcome.ran.value,
+            status=outcome.reply.status if outcome.reply else None,
+            detail=outcome.detail,
+            latency_ms=round(outcome.latency * 1000),
+        )
+        if self.may_repeat(outcome) and self.send_again(shard):
+            shard.second_at = float("inf")
+            return
+        shard.given_up = not shard.running
+
+    def is_usable(self, outcome: ExchangeOutcome) -> bool:
+        """Whether the reply of an attempt is the answer, or a part of it."""
+        reply = outcome.reply
+        if outcome.end is not ExchangeEnd.ANSWERED or reply is None:
+            return False
+        # A success without its proof is not the server's own.
+        if 200 <= reply.status < 300:
+            return reply.succeeded
+        return not self.is_fan_out
+
+    def may_repeat(self, outcome: ExchangeOutcome) -> bool:
+        """Whether the request may be sent again after this outcome."""
+        return self.route.idempotent or outcome.ran is Ran.NOT_RUN
+
+    def abandon(self) -> None:
+        """Cancel all running attempts."""
+        for shard in self.shards.values():
+            for attempt in shard.running.values():
+                attempt.cancel()
+
+    def answer(self) -> ForwardedAnswer:
+        """Return the answer from what has arrived."""
+        shards = self.shards.values()
+        if self.is_fan_out:
+            replies = [shard.reply for shard in shards if shard.reply is not None]
+            if covers_enough(self.route, len(replies)):
+                return merged_answer(self.route, replies)
+        else:
+            shard = next(iter(shards))
+            reply = shard.reply or (shard.failure if not shard.running else None)
+            if reply is not None and (answer := passed_on_answer(reply)) is not None:
+                return answer
+        ran = Ran.NOT_RUN
+        for shard in shards:
+            if shard.running or shard.ran is not Ran.NOT_RUN:
+                ran = Ran.UNKNOWN
+        self.abandon()
+        timed_out = time.monotonic() >= self.end_of_wait(time.monotonic())
+        return failed_answer(ran=ran, timed_out=timed_out, random=self.tools.random)
+
+    def note(self, event: str, shard: ShardRun, **details) -> None:
+        """Log a decision about a shard."""
+        self.tools.log.info(
+            event,
+            request_id=self.request.request_id,
+            route=self.route.name,
+            service=shard.service,
+            sent=shard.sent,
+            age_ms=round((time.monotonic() - self.request.received_at) * 1000),
+            **details,
+        )
--- /dev/null
+++ b/src/rhubarbway/services/forwarding.py
@@ -0,0 +1,140 @@
+"""Answers callers' requests by forwarding them along the routing table."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import threading
+from random import Random
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.decisions.forward_answers import refusal
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import ForwardedAnswer, ForwardedRequest, Route, RoutingTable
+from rhubarbway.services.caller_inbox import CallerInbox
+from rhubarbway.services.forward_run import ForwardingTools, ForwardRun
+from rhubarbway.services.kind_times import KindTimesByRoute
+from rhubarbway.services.log import part_logger
+from rhubarbway.services.names import ROUTING, SERVERS
+from rhubarbway.services.routing import RoutingService
+from rhubarbway.services.server_pool import ServerPool
+from rhubarbway.services.servers import ServerService
+
+
+class LockedBudget:
+    """An ``ArrivalBudget`` that several tasks use."""
+
+    __slots__ = ("budget", "lock")
+
+    def __init__(self, *, budget: ArrivalBudget) -> None:
+        self.budget = budget
+        self.lock = threading.Lock()
+
+    def note_request(self, service: str, *, now: float) -> None:
+        """Count a request whose first attempt goes to the service."""
+        with self.lock:
+            self.budget.note_request(service, now=now)
+
+    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
+        """Count an extra attempt and return True, if the window still allows it."""
+        with self.lock:
+            return self.budget.take(service, now=now, reserve=reserve)
+
+    def set_hosts(self, hosts: int) -> None:
+        """Set the number of entry hosts that share the allowance."""
+        with self.lock:
+            self.budget.hosts = hosts
+
+
+class ForwardingService:
+    """Finds the route of a request and runs it."""
+
+    __slots__ = ("budget", "log", "random", "routing", "servers", "times", "tools", "zone")
+
+    def __init__(self, *, zone: str, budget: ArrivalBudget) -> None:
+        self.zone = zone
+        self.budget = LockedBudget(budget=budget)
+        self.times = KindTimesByRoute()
+        self.random = Random()
+        self.log = part_logger("forwarding")
+        self.routing: RoutingService
+        self.servers: ServerService
+        self.tools: ForwardingTools
+
+    def start(self, kernel: Kernel) -> None:
+        """Find the routing table and the servers."""
+        self.routing = kernel.find(ROUTING)
+        self.servers = kernel.find(SERVERS)
+        self.routing.listeners.append(self.note_table)
+        self.servers.observers.append(self.times.note)
+        self.tools = ForwardingTools(
+            pools_of=self.pools_of,
+            zone=self.zone,
+            budget=self.budget,
+            next_number=itertools.count(1).__next__,
+            second_attempt_delay=self.times.second_attempt_delay,
+            usual_s=lambda route: self.times.of(route).usual_s,
+            random=self.random,
+            log=self.log,
+        )
+
+    def stop(self) -> None:
+        """Hold nothing open: requests end in the tasks of their callers."""
+
+    def note_table(self, table: RoutingTable) -> None:
+        """Forget what was learnt about services and routes that are gone."""
+        with self.budget.lock:
+            self.budget.budget.keep_only(table.services)
+
+    def pools_of(self, service: str) -> list[ServerPool]:
+        """Return the pools of the servers of a service that may get work."""
+        return self.servers.by_service.get(service, [])
+
+    def answer(
+        self, request: ForwardedRequest, *, sock: socket.socket | None
+    ) -> ForwardedAnswer | None:
+        """Return the answer to a request, or None if its caller has left.
+
+        Parameters
+        ----------
+        sock : socket.socket or None
+            The caller's connection, which is watched for its end.
+        """
+        current = self.routing.in_force
+        if current is None:
+            return refusal("no configuration is known yet", random=self.random)
+        route = current.index.match(request.host, request.path)
+        if route is None:
+            self.log.info("No route.", request_id=request.request_id, version=current.table.version)
+            return ForwardedAnswer(status=404, detail="no route")
+        services = route.shards or (self.routing.service_of(route),)
+        inbox = CallerInbox(sock=sock)
+        try:
+            run = ForwardRun(
+                request=request, route=route, services=services, inbox=inbox, tools=self.tools
+            )
+            answer = run.run()
+        finally:
+            inbox.close()
+        self.note_answer(request, route, answer, current.table.version)
+        return answer
+
+    def note_answer(
+        self,
+        request: ForwardedRequest,
+        route: Route,
+        answer: ForwardedAnswer | None,
+        version: int,
+    ) -> None:
+        """Log an answer that is not a whole success."""
+        if answer is not None and answer.status < 300 and not answer.missing:
+            return
+        self.log.info(
+            "Caller left." if answer is None else "Answered.",
+            request_id=request.request_id,
+            route=route.name,
+            version=version,
+            status=answer.status if answer else None,
+            missing=answer.missing if answer else None,
+            detail=answer.detail if answer else "",
+        )
--- /dev/null
+++ b/src/rhubarbway/services/gateway.py
@@ -0,0 +1,172 @@
+"""Listens for callers whose requests are forwarded, and for the load balancer's questions."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import h11
+from returns.result import Result, Success
+from werkzeug.wrappers import Request, Response
+
+from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import CallerLimits, ForwardedAnswer, ForwardedRequest
+from rhubarbway.services.forwarding import ForwardingService
+from rhubarbway.services.log import part_logger
+from rhubarbway.services.names import FORWARDING, REGISTRY, ROUTING
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.routing import RoutingService
+
+# After the load balancer was told, it takes this long until no new connection comes, seconds: it
+# asks once a second and believes the second refusal.
+LEAVE_NOTICE_S = 2.3
+# Time from the signal to the end of the process that requests in flight may use, as a share of the
+# grace of the platform.
+GRACE_SHARE = 0.87
+READY_CONNECTIONS = 16
+
+DecodeRequest = Callable[..., Result[ForwardedRequest, str]]
+EncodeAnswer = Callable[..., Response]
+
+
+class GatewayService:
+    """Owns the listening sockets for forwarded requests and readiness.
+
+    Parameters
+    ----------
+    listen, ready_listen : str
+        ``HOST:PORT`` for callers and for the load balancer's questions.
+    grace_s : float
+        Time that the platform gives a process to stop, seconds.
+    max_connections : int
+        Caller connections served at a time.
+    decode, encode : callable
+        Wire format of requests and answers.
+    """
+
+    __slots__ = (
+        "decode",
+        "encode",
+        "forwarding",
+        "grace_s",
+        "leaving",
+        "listen",
+        "log",
+        "max_connections",
+        "ready_listen",
+        "ready_server",
+        "registry",
+        "routing",
+        "server",
+    )
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        ready_listen: str,
+        grace_s: float,
+        max_connections: int,
+        decode: DecodeRequest,
+        encode: EncodeAnswer,
+    ) -> None:
+        self.listen = listen
+        self.ready_listen = ready_listen
+        self.grace_s = grace_s
+        self.max_connections = max_connections
+        self.decode = decode
+        self.encode = encode
+        self.leaving = threading.Event()
+        self.log = part_logger("gateway")
+        self.forwarding: ForwardingService
+        self.registry: RegistryService
+        self.routing: RoutingService
+        self.server: HttpServer
+        self.ready_server: HttpServer
+
+    def start(self, kernel: Kernel) -> None:
+        """Listen."""
+        self.forwarding = kernel.find(FORWARDING)
+        self.registry = kernel.find(REGISTRY)
+        self.routing = kernel.find(ROUTING)
+        self.server = HttpServer(
+            address=address_of(self.listen),
+            app=self.respond,
+            error_app=self.respond_to_bad_request,
+            max_connections=self.max_connections,
+            name="gateway",
+            limits=self.limits,
+        )
+        self.ready_server = HttpServer(
+            address=address_of(self.ready_listen),
+            app=self.respond_ready,
+            error_app=self.respond_to_bad_request,
+            max_connections=READY_CONNECTIONS,
+            name="ready",
+        )
+        self.ready_server.start()
+        self.server.start()
+        self.log.info("Listening.", address=self.listen, ready_address=self.ready_listen)
+
+    def stop(self) -> None:
+        """Report not ready, go on serving for the notice, then finish what is in flight."""
+        began = time.monotonic()
+        self.leaving.set()
+        self.server.leave()
+        self.log.info("Leaving.", notice_s=LEAVE_NOTICE_S)
+        threading.Event().wait(LEAVE_NOTICE_S)
+        left_s = began + GRACE_SHARE * self.grace_s - time.monotonic()
+        cut = self.server.stop(grace_s=left_s)
+        self.ready_server.stop(grace_s=0.1)
+        self.log.info("Closed.", connections_cut=cut)
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers of the configuration in force."""
+        current = self.routing.in_force
+        return current.table.limits if current else DEFAULT_LIMITS
+
+    def is_ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        return (
+            not self.leaving.is_set() and self.routing.in_force is not None and self.registry.listed
+        )
+
+    def respond_ready(self, request: Request) -> Response:
+        """Answer the load balancer's question."""
+        return Response(status=200 if self.is_ready() else 503)
+
+    def respond(self, request: Request) -> Response:
+        """Return the answer to a caller's request."""
+        received_at = time.monotonic()
+        head: h11.Request = request.environ[HEAD_KEY]
+        result = self.decode(head, request.get_data(), received_at=received_at)
+        if not isinstance(result, Success):
+            return self.respond_to_bad_request(400, result.failure())
+        forwarded = result.unwrap()
+        try:
+            answer = self.forwarding.answer(forwarded, sock=request.environ[SOCKET_KEY])
+        except Exception:
+            self.log.exception("A request failed.", request_id=forwarded.request_id)
+            answer = ForwardedAnswer(status=500, detail="internal error")
+        if answer is None:
+            answer = ForwardedAnswer(status=502, detail="the caller has left")
+        return self.encode(answer, request_id=forwarded.request_id)
+
+    def respond_to_bad_request(self, status: int, detail: str) -> Response:
+        """Return the answer to a request that was not understood."""
+        self.log.info("Request refused.", status=status, detail=detail[:200])
+        return self.encode(ForwardedAnswer(status=status, detail=detail[:200]), request_id="")
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """Return host and port of ``HOST:PORT``.
+
+    Examples
+    --------
+    >>> address_of("10.0.0.1:80")
+    ('10.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -9,13 +9,18 @@
 if TYPE_CHECKING:
     from rhubarbway.services.backends import BackendService
     from rhubarbway.services.crashes import CrashService
+    from rhubarbway.services.forwarding import ForwardingService
     from rhubarbway.services.frontend import FrontendService
+    from rhubarbway.services.gateway import GatewayService
     from rhubarbway.services.log import LogService
     from rhubarbway.services.manifest import ManifestService
     from rhubarbway.services.metrics import MetricsService
     from rhubarbway.services.peers import PeerService
     from rhubarbway.services.platform import PlatformService
     from rhubarbway.services.queries import QueryService
+    from rhubarbway.services.registry import RegistryService
+    from rhubarbway.services.routing import RoutingService
+    from rhubarbway.services.servers import ServerService
     from rhubarbway.services.slices import SliceService
     from rhubarbway.services.tokens import TokenService
 
@@ -30,3 +35,8 @@
 PEERS: ServiceKey[PeerService] = ServiceKey("peers")
 PLATFORM: ServiceKey[PlatformService] = ServiceKey("platform")
 FRONTEND: ServiceKey[FrontendService] = ServiceKey("frontend")
+ROUTING: ServiceKey[RoutingService] = ServiceKey("routing")
+SERVERS: ServiceKey[ServerService] = ServiceKey("servers")
+REGISTRY: ServiceKey[RegistryService] = ServiceKey("registry")
+FORWARDING: ServiceKey[ForwardingService] = ServiceKey("forwarding")
+GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
--- /dev/null
+++ b/src/rhubarbway/services/routing.py
@@ -0,0 +1,76 @@
+"""The routing table in force; a lower version never replaces a higher one."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from rhubarbway.decisions.route_choice import RouteIndex, SplitSchedule
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import Route, RoutingTable
+from rhubarbway.services.log import part_logger
+
+
+class TableInForce:
+    """A table with its index; a request uses one of them from beginning to end."""
+
+    __slots__ = ("index", "table")
+
+    def __init__(self, *, table: RoutingTable) -> None:
+        self.table = table
+        self.index = RouteIndex(table.routes)
+
+
+class RoutingService:
+    """Holds the table in force and tells the listeners when it changes."""
+
+    __slots__ = ("in_force", "listeners", "lock", "log", "splits")
+
+    def __init__(self) -> None:
+        self.in_force: TableInForce | None = None
+        self.listeners: list[Callable[[RoutingTable], None]] = []
+        self.lock = threading.Lock()
+        self.splits = SplitSchedule()
+        self.log = part_logger("routing")
+
+    def start(self, kernel: Kernel) -> None:
+        """Need no other service."""
+
+    def stop(self) -> None:
+        """Keep the table: requests in flight still use it."""
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first one."""
+        current = self.in_force
+        return current.table.version if current else 0
+
+    def offer(self, table: RoutingTable, *, source: str) -> bool:
+        """Put a table into force if it is newer, and return whether it was.
+
+        Parameters
+        ----------
+        source : str
+            Where the table came from, for the log.
+        """
+        with self.lock:
+            before = self.version
+            if table.version <= before:
+                return False
+            self.in_force = TableInForce(table=table)
+            self.splits.keep_only(route.name for route in table.routes)
+        self.log.info(
+            "Configuration in force.",
+            version=table.version,
+            replaced=before,
+            source=source,
+            routes=len(table.routes),
+        )
+        for listener in self.listeners:
+            listener(table)
+        return True
+
+    def service_of(self, route: Route) -> str:
+        """Return the service that the next request of a route without shards goes to."""
+        with self.lock:
+            return self.splits.next_service(route.name, route.split)
--- /dev/null
+++ b/src/rhubarbway/services/servers.py
@@ -0,0 +1,165 @@
+"""All backend servers in use, with a pool of connections to each."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+from rhubarbway.decisions.server_roster import ServerRoster
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import BackendServer, ExchangeOutcome, RoutingTable
+from rhubarbway.services.log import part_logger
+from rhubarbway.services.names import ROUTING
+from rhubarbway.services.server_pool import ReplicaDialect, ServerAttempt, ServerPool
+
+MAX_CONNECTION_TASKS = 2048
+# Connections to each replica of a service whose cap is not known yet.
+DEFAULT_CONNECTIONS = 2
+# Part of a server's connections that all entry hosts together use. Connections that are being
+# closed still count at the server.
+USED_CONNECTION_SHARE = 0.9
+
+Observer = Callable[[ServerAttempt, ExchangeOutcome], None]
+
+
+def connection_limit(connections: int | None, hosts: int) -> int:
+    """Return how many connections of a server one entry host may use.
+
+    Examples
+    --------
+    >>> connection_limit(31, 9), connection_limit(77, 90), connection_limit(None, 9)
+    (3, 1, 2)
+    """
+    if connections is None:
+        return DEFAULT_CONNECTIONS
+    return max(1, int(connections * USED_CONNECTION_SHARE / max(1, hosts)))
+
+
+class ServerService:
+    """Owns the roster of servers and one ``ServerPool`` for each that may get work."""
+
+    __slots__ = (
+        "by_service",
+        "connections",
+        "dialect",
+        "executor",
+        "hosts",
+        "lock",
+        "log",
+        "observers",
+        "pools",
+        "roster",
+    )
+
+    def __init__(self, *, dialect: ReplicaDialect) -> None:
+        self.dialect = dialect
+        self.roster = ServerRoster()
+        self.pools: dict[tuple[str, int, str, str], ServerPool] = {}
+        # Replaced as a whole, so that requests read it without a lock.
+        self.by_service: dict[str, list[ServerPool]] = {}
+        self.connections: dict[str, int] = {}
+        self.hosts = 1
+        self.observers: list[Observer] = []
+        self.lock = threading.Lock()
+        self.executor = ThreadPoolExecutor(MAX_CONNECTION_TASKS, thread_name_prefix="server")
+        self.log = part_logger("servers")
+
+    def start(self, kernel: Kernel) -> None:
+        """Follow the routing table, which states the connection caps."""
+        kernel.find(ROUTING).listeners.append(self.note_table)
+
+    def stop(self) -> None:
+        """Close all connections."""
+        with self.lock:
+            pools = list(self.pools.values())
+        for pool in pools:
+            pool.close()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def note_table(self, table: RoutingTable) -> None:
+        """Take over the connection caps of a new routing table."""
+        with self.lock:
+            self.connections = dict(table.connections)
+            self.apply_limits()
+
+    def note_hosts(self, hosts: int) -> None:
+        """Take over the number of entry hosts that share the connections."""
+        with self.lock:
+            self.hosts = max(1, hosts)
+            self.apply_limits()
+
+    def apply_limits(self) -> None:
+        """Set the connection limit of all pools; the lock is held."""
+        for pool in self.pools.values():
+            pool.limit = connection_limit(self.connections.get(pool.server.service), self.hosts)
+
+    def put(self, servers: Iterable[BackendServer]) -> None:
+        """Add or replace single servers."""
+        with self.lock:
+            for server in servers:
+                self.roster.put(server)
+            self.apply_roster()
+
+    def remove(self, server_ids: Iterable[str]) -> None:
+        """Drop servers whose entries were removed."""
+        with self.lock:
+            for server_id in server_ids:
+                self.roster.remove(server_id, now=time.monotonic())
+            self.apply_roster()
+
+    def replace_all(self, servers: Iterable[BackendServer]) -> None:
+        """Take over a complete list."""
+        with self.lock:
+            self.roster.replace_all(servers, now=time.monotonic())
+            self.apply_roster()
+
+    def note_return(self) -> None:
+        """Record that the registry answers again after it was away."""
+        with self.lock:
+            self.roster.note_return(now=time.monotonic())
+
+    def expire(self) -> None:
+        """Drop servers whose entries did not come back after an outage."""
+        with self.lock:
+            if self.roster.expire(now=time.monotonic()):
+                self.apply_roster()
+
+    def apply_roster(self) -> None:
+        """Open pools for new servers and close those of servers that leave; the lock is held."""
+        pools: dict[tuple[str, int, str, str], ServerPool] = {}
+        by_service: dict[str, list[ServerPool]] = {}
+        for service, servers in self.roster.serving().items():
+            for server in servers:
+                pool = self.pools.get(server.incarnation) or self.new_pool(server)
+                pools[server.incarnation] = pool
+                by_service.setdefault(service, []).append(pool)
+        gone = [pool for key, pool in self.pools.items() if key not in pools]
+        added = [pool.server.id for key, pool in pools.items() if key not in self.pools]
+        self.pools = pools
+        self.by_service = by_service
+        if gone or added:
+            self.log.info(
+                "Servers changed.",
+                added=added[:8],
+                gone=[pool.server.id for pool in gone][:8],
+                serving=len(pools),
+            )
+        for pool in gone:
+            pool.close()
+
+    def new_pool(self, server: BackendServer) -> ServerPool:
+        """Return the pool of a server that was not in use."""
+        return ServerPool(
+            server=server,
+            limit=connection_limit(self.connections.get(server.service), self.hosts),
+            dialect=self.dialect,
+            spawn=self.executor.submit,
+            observe=self.observe,
+        )
+
+    def observe(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
+        """Pass an outcome on to the observers."""
+        for observer in self.observers:
+            observer(attempt, outcome)
--- /dev/null
+++ b/src/rhubarbway/settings/document.py
@@ -0,0 +1,45 @@
+"""Reading a settings document, JSON with comments, against a JSON Schema."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import json5
+from returns.result import Failure, Result, Success
+
+from rhubarbway.edge.json_codec import NESTING_LIMIT
+from rhubarbway.edge.json_places import json_places
+from rhubarbway.manifest.load import error_problems, findings_of, key_problems, schema_errors
+from rhubarbway.model import Finding
+
+SETTINGS_LIMIT_BYTES = 64 * 1024
+
+
+def document_from_bytes(
+    data: bytes, *, source: str, schema: dict[str, Any]
+) -> Result[dict[str, Any], list[Finding]]:
+    """Return the checked document, or all findings with their places."""
+    if len(data) > SETTINGS_LIMIT_BYTES:
+        problem = f"has {len(data)} bytes, more than {SETTINGS_LIMIT_BYTES}"
+        return Failure([Finding(place=source, problem=problem)])
+    try:
+        text = data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        return Failure([Finding(place=f"{source}:{line}", problem=f"is not UTF-8: {error.reason}")])
+    places = json_places(text, depth_limit=NESTING_LIMIT)
+    if places.depth > NESTING_LIMIT:
+        problem = f"is nested deeper than {NESTING_LIMIT} levels"
+        return Failure([Finding(place=source, problem=problem)])
+    try:
+        document = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        # The message begins with "<string>:LINE".
+        where, _, problem = str(error).removeprefix("<string>:").partition(" ")
+        place = f"{source}:{where}" if where.isdigit() else source
+        problem = problem if where.isdigit() else str(error)
+        return Failure([Finding(place=place, problem=f"is not JSON with comments: {problem}")])
+    problems = key_problems(places) + error_problems(schema_errors(document, schema))
+    if problems:
+        return Failure(findings_of(problems, places=places, source=source))
+    return Success(document)
--- /dev/null
+++ b/src/rhubarbway/settings/gateway.py
@@ -0,0 +1,105 @@
+"""Settings of a gateway daemon, which runs on the users' platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import cache
+from importlib.resources import files
+from typing import Any
+
+from returns.result import Result
+
+from rhubarbway.edge.json_codec import decoded
+from rhubarbway.model import Finding
+from rhubarbway.settings.document import document_from_bytes
+
+
+class GatewaySettings:
+    """Checked settings of a gateway.
+
+    Parameters
+    ----------
+    name, zone : str
+        Name and availability zone of the entry host.
+    listen, ready_listen, peer_listen : str
+        ``IP:PORT`` for callers, for the load balancer's questions and for other entry hosts.
+    seeds : list of str
+        ``peer_listen`` of some entry hosts; they may be down.
+    store : str
+        ``IP:PORT`` of the platform's store.
+    metrics_port : int
+        Port of the metrics, on the address of ``listen``; 0 serves none.
+    grace_s : float
+        Time from SIGTERM until the platform kills the process, seconds.
+    retry_ratio, retry_allowance, retry_window_s : float
+        Limit of attempts beyond the first over all entry hosts in any window: a share of the
+        requests, an allowance besides, and the length of the window in seconds.
+    log_level : str
+        ``debug``, ``info``, ``warning`` or ``error``.
+    max_connections : int
+        Caller connections served at a time.
+    """
+
+    __slots__ = (
+        "grace_s",
+        "listen",
+        "log_level",
+        "max_connections",
+        "metrics_port",
+        "name",
+        "peer_listen",
+        "ready_listen",
+        "retry_allowance",
+        "retry_ratio",
+        "retry_window_s",
+        "seeds",
+        "store",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        listen: str,
+        ready_listen: str,
+        peer_listen: str,
+        store: str,
+        seeds: Iterable[str] = (),
+        metrics_port: int = 0,
+        grace_s: float = 6.0,
+        retry_ratio: float = 0.1,
+        retry_allowance: float = 10.0,
+        retry_window_s: float = 10.0,
+        log_level: str = "info",
+        max_connections: int = 512,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.listen = listen
+        self.ready_listen = ready_listen
+        self.peer_listen = peer_listen
+        self.store = store
+        self.seeds = list(seeds)
+        self.metrics_port = metrics_port
+        self.grace_s = grace_s
+        self.retry_ratio = retry_ratio
+        self.retry_allowance = retry_allowance
+        self.retry_window_s = retry_window_s
+        self.log_level = log_level
+        self.max_connections = max_connections
+
+
+@cache
+def schema() -> dict[str, Any]:
+    """Return the published JSON Schema of the settings of a gateway."""
+    return decoded(files("rhubarbway.settings").joinpath("gateway_schema.json").read_bytes())
+
+
+def gateway_settings_from_bytes(
+    data: bytes, *, source: str
+) -> Result[GatewaySettings, list[Finding]]:
+    """Return the settings of a document in JSON with comments, or all findings."""
+    document = document_from_bytes(data, source=source, schema=schema())
+    return document.map(lambda found: GatewaySettings(**found))
--- a/src/rhubarbway/settings/tests/test_settings.py
+++ b/src/rhubarbway/settings/tests/test_settings.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rhubarbway.settings import settings_from_bytes
-from rhubarbway.settings.settings import SETTINGS_LIMIT_BYTES
+from rhubarbway.settings.document import SETTINGS_LIMIT_BYTES
 
 GOOD = b"""{
   // The entry host.
