Write logs without blocking, serve metrics, and guard servers against requests that end them

Cause: log lines were written by the task that logged; the platform asks for standard output, bounded volume and metrics; a request that ends its servers was sent again without limit.

Change: a bounded queue and one writing task, a rate for lines about single requests, histograms by route and service on a metrics address, and a count of lost servers by request that hosts share.

--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rhubarbway.decisions.crash_guard import LostServer
 from rhubarbway.decisions.fleet_view import FleetMember
 from rhubarbway.model import StoreItem
 
@@ -29,6 +30,15 @@
     value: bytes | None
 
 
+class WireLoss(msgspec.Struct):
+    """A server that was lost while it had a request, and how long ago."""
+
+    digest: str
+    service: str
+    server: str
+    age_ms: int
+
+
 class FeedRequest(msgspec.Struct):
     """Asks for changes.
 
@@ -40,6 +50,7 @@
     source: str
     after: int
     wait_ms: int
+    losses: list[WireLoss] = []
 
 
 class FeedReply(msgspec.Struct):
@@ -55,6 +66,7 @@
     complete: bool
     items: list[WireItem]
     members: list[WireMember]
+    losses: list[WireLoss] = []
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -130,3 +142,15 @@
 def item_of(wire: WireItem) -> StoreItem:
     """Return a change as this host keeps it."""
     return StoreItem(key=wire.key, value=wire.value, revision=wire.revision)
+
+
+def wire_loss(loss: LostServer, *, now: float) -> WireLoss:
+    """Return a loss as it is sent."""
+    age_ms = max(0, round((now - loss.at) * 1000))
+    return WireLoss(digest=loss.digest, service=loss.service, server=loss.server, age_ms=age_ms)
+
+
+def loss_of(wire: WireLoss, *, now: float) -> LostServer:
+    """Return a loss as this host keeps it."""
+    at = now - max(0, wire.age_ms) / 1000
+    return LostServer(digest=wire.digest, service=wire.service, server=wire.server, at=at)
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import traceback
 from pathlib import Path
 
 from returns.result import Result, Success
@@ -19,11 +20,17 @@
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.gateway import GatewayService
 from rhubarbway.services.log import LogService, part_logger
+from rhubarbway.services.losses import LossService
+from rhubarbway.services.metrics import MetricsService
+from rhubarbway.services.metrics_endpoint import MetricsEndpoint
 from rhubarbway.services.names import (
     FLEET,
     FORWARDING,
     GATEWAY,
     LOG,
+    LOSSES,
+    METRICS,
+    METRICS_ENDPOINT,
     REGISTRY,
     ROUTING,
     SERVERS,
@@ -43,6 +50,8 @@
     """Return a kernel with all services of a gateway, not yet started."""
     kernel = Kernel()
     kernel.register(LOG, LogService(level=settings.log_level))
+    metrics = kernel.register(METRICS, MetricsService())
+    kernel.register(LOSSES, LossService())
     kernel.register(ROUTING, RoutingService())
     dialect = ReplicaDialect(encode=request_lines, decode=reply_of)
     servers = kernel.register(SERVERS, ServerService(dialect=dialect))
@@ -57,7 +66,13 @@
     )
     fleet = FleetService(listen=settings.peer_listen, zone=settings.zone, seeds=settings.seeds)
     kernel.register(FLEET, fleet)
-    fleet.listeners += [servers.note_hosts, forwarding.budget.set_hosts]
+    fleet.listeners += [
+        servers.note_hosts,
+        forwarding.budget.set_hosts,
+        metrics.set_entry_hosts,
+    ]
+    address = settings.listen.rpartition(":")[0]
+    kernel.register(METRICS_ENDPOINT, MetricsEndpoint(listen=f"{address}:{settings.metrics_port}"))
     kernel.register(
         GATEWAY,
         GatewayService(
@@ -90,7 +105,13 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, *RELOAD_SIGNALS))
     settings = result.unwrap()
     kernel = kernel_of(settings)
-    kernel.start()
+    try:
+        kernel.start()
+    except Exception:
+        traceback.print_exc()
+        sys.stderr.flush()
+        # Tasks of services that started already would keep the process alive.
+        os._exit(1)
     log = part_logger("gateway")
     log.info("Started.", host=settings.name, zone=settings.zone)
     while signal.sigwait((*STOP_SIGNALS, *RELOAD_SIGNALS)) in RELOAD_SIGNALS:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -16,7 +16,8 @@
 from rhubarbway.edge.http_server import HttpServer, address_of
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import part_logger
-from rhubarbway.services.names import REGISTRY
+from rhubarbway.services.losses import LossService
+from rhubarbway.services.names import LOSSES, REGISTRY
 from rhubarbway.services.registry import RegistryService
 
 # Longest wait of a follower for the next change, seconds. It is also how often hosts hear of each
@@ -44,6 +45,7 @@
         "listeners",
         "lock",
         "log",
+        "losses",
         "registry",
         "seeds",
         "server",
@@ -64,11 +66,13 @@
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(FOLLOWED, thread_name_prefix="fleet")
         self.log = part_logger("fleet")
+        self.losses: LossService
         self.registry: RegistryService
         self.server: HttpServer
 
     def start(self, kernel: Kernel) -> None:
         """Listen for followers, and start to follow."""
+        self.losses = kernel.find(LOSSES)
         self.registry = kernel.find(REGISTRY)
         self.server = HttpServer(
             address=address_of(self.listen),
@@ -151,7 +155,11 @@
             If the response has another form.
         """
         request = feed_wire.FeedRequest(
-            sender=self.own_record(), source=source, after=after, wait_ms=int(wait_s * 1000)
+            sender=self.own_record(),
+            source=source,
+            after=after,
+            wait_ms=int(wait_s * 1000),
+            losses=self.own_losses(),
         )
         reply = connection.exchange(
             "POST",
@@ -185,6 +193,7 @@
             for wire in (*reply.members, reply.sender):
                 self.view.hear(feed_wire.member_of(wire, now=now))
         self.note_count()
+        self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in reply.losses)
         items = [feed_wire.item_of(wire) for wire in reply.items]
         self.registry.take(
             items,
@@ -215,6 +224,11 @@
         own.heard_at = time.monotonic()
         return feed_wire.wire_member(own, now=own.heard_at)
 
+    def own_losses(self) -> list[feed_wire.WireLoss]:
+        """Return what this host knows about requests that end their servers."""
+        now = time.monotonic()
+        return [feed_wire.wire_loss(loss, now=now) for loss in self.losses.shared()]
+
     def respond(self, request: Request) -> Response:
         """Answer a host that follows this one."""
         if request.path != feed_wire.PATH:
@@ -224,8 +238,10 @@
         except feed_wire.BadFeed as error:
             self.log.warning("A feed request was refused.", problem=str(error))
             return Response(str(error), status=400)
+        now = time.monotonic()
         with self.lock:
-            self.view.hear(feed_wire.member_of(asked.sender, now=time.monotonic()))
+            self.view.hear(feed_wire.member_of(asked.sender, now=now))
+        self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in asked.losses)
         self.note_count()
         known = asked.source == self.view.own.incarnation
         changes = self.registry.changes(
@@ -247,5 +263,6 @@
             complete=changes.complete,
             items=[feed_wire.wire_item(item) for item in changes.items],
             members=members,
+            losses=self.own_losses(),
         )
         return Response(feed_wire.encoded(reply), content_type="application/json")
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -26,6 +26,7 @@
     Route,
 )
 from rhubarbway.services.caller_inbox import CallerInbox
+from rhubarbway.services.losses import LossService
 from rhubarbway.services.server_pool import ServerAttempt, ServerPool
 
 # Attempts beyond the first that stay reserved for failures, so that slow servers do not use up
@@ -110,6 +111,8 @@
         Returns a fresh number of an attempt.
     second_attempt_delay, usual_s : callable
         Learnt times of a route, seconds.
+    losses : LossService
+        Requests that end their servers.
     log : logger
         Takes one line for each decision.
     """
@@ -117,6 +120,7 @@
     __slots__ = (
         "budget",
         "log",
+        "losses",
         "next_number",
         "pools_of",
         "random",
@@ -134,9 +138,11 @@
         next_number: Callable[[], int],
         second_attempt_delay: Callable[[Route], float],
         usual_s: Callable[[Route], float],
+        losses: LossService,
         random: Random,
         log,
     ) -> None:
+        self.losses = losses
         self.pools_of = pools_of
         self.zone = zone
         self.budget = budget
@@ -154,6 +160,8 @@
     ----------
     request : ForwardedRequest
         The caller's request.
+    digest : str
+        Name of the request by its content.
     route : Route
         Its route, from the routing table in force when it was read.
     services : tuple of str
@@ -168,6 +176,7 @@
         "answer_by",
         "attempt_deadline",
         "deadline",
+        "digest",
         "inbox",
         "is_fan_out",
         "request",
@@ -182,12 +191,14 @@
         self,
         *,
         request: ForwardedRequest,
+        digest: str,
         route: Route,
         services: tuple[str, ...],
         inbox: CallerInbox,
         tools: ForwardingTools,
     ) -> None:
         self.request = request
+        self.digest = digest
         self.route = route
         self.inbox = inbox
         self.tools = tools
@@ -349,7 +360,7 @@
             Instant after which a reply is of no use; a server that is not expected to reply by
             then would only get more load.
         """
-        if shard.sent >= self.route.max_attempts:
+        if shard.sent >= self.route.max_attempts or self.tools.losses.is_suspect(self.digest):
             return False
         now = time.monotonic()
         pool = next(iter(self.ranked_pools(shard, now)), None)
@@ -372,6 +383,8 @@
         if outcome.end in (ExchangeEnd.CONNECT_FAILED, ExchangeEnd.MISDIRECTED):
             # Nothing of the request reached a server of this service.
             shard.sent -= 1
+        if outcome.end is ExchangeEnd.LOST:
+            self.tools.losses.note(self.digest, service=shard.service, server=outcome.server)
         if shard.reply is not None:
             return
         if self.is_usable(outcome):
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -9,16 +9,19 @@
 from random import Random
 
 from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.decisions.crash_guard import request_digest
 from rhubarbway.decisions.forward_answers import refusal
 from rhubarbway.kernel import Kernel
-from rhubarbway.model import ForwardedAnswer, ForwardedRequest, RoutingTable
+from rhubarbway.model import ExchangeOutcome, ForwardedAnswer, ForwardedRequest, RoutingTable
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forward_run import ForwardingTools, ForwardRun
 from rhubarbway.services.kind_times import KindTimesByRoute
 from rhubarbway.services.log import part_logger
-from rhubarbway.services.names import ROUTING, SERVERS
+from rhubarbway.services.losses import LossService
+from rhubarbway.services.metrics import MetricsService
+from rhubarbway.services.names import LOSSES, METRICS, ROUTING, SERVERS
 from rhubarbway.services.routing import RoutingService
-from rhubarbway.services.server_pool import ServerPool
+from rhubarbway.services.server_pool import ServerAttempt, ServerPool
 from rhubarbway.services.servers import ServerService
 
 
@@ -50,7 +53,18 @@
 class ForwardingService:
     """Finds the route of a request and runs it."""
 
-    __slots__ = ("budget", "log", "random", "routing", "servers", "times", "tools", "zone")
+    __slots__ = (
+        "budget",
+        "log",
+        "losses",
+        "metrics",
+        "random",
+        "routing",
+        "servers",
+        "times",
+        "tools",
+        "zone",
+    )
 
     def __init__(self, *, zone: str, budget: ArrivalBudget) -> None:
         self.zone = zone
@@ -58,16 +72,21 @@
         self.times = KindTimesByRoute()
         self.random = Random()
         self.log = part_logger("forwarding")
+        self.losses: LossService
+        self.metrics: MetricsService
         self.routing: RoutingService
         self.servers: ServerService
         self.tools: ForwardingTools
 
     def start(self, kernel: Kernel) -> None:
         """Find the routing table and the servers."""
+        self.losses = kernel.find(LOSSES)
+        self.metrics = kernel.find(METRICS)
         self.routing = kernel.find(ROUTING)
         self.servers = kernel.find(SERVERS)
         self.routing.listeners.append(self.note_table)
         self.servers.observers.append(self.times.note)
+        self.servers.observers.append(self.count_exchange)
         self.tools = ForwardingTools(
             pools_of=self.pools_of,
             zone=self.zone,
@@ -75,6 +94,7 @@
             next_number=itertools.count(1).__next__,
             second_attempt_delay=self.times.second_attempt_delay,
             usual_s=lambda route: self.times.of(route).usual_s,
+            losses=self.losses,
             random=self.random,
             log=self.log,
         )
@@ -87,6 +107,12 @@
         with self.budget.lock:
             self.budget.budget.keep_only(table.services)
 
+    def count_exchange(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
+        """Record the end of an attempt in the metrics."""
+        self.metrics.observe_exchange(
+            service=outcome.shard, end=outcome.end.value, seconds=outcome.latency
+        )
+
     def pools_of(self, service: str) -> list[ServerPool]:
         """Return the pools of the servers of a service that may get work."""
         return self.servers.by_service.get(service, [])
@@ -108,11 +134,20 @@
         if route is None:
             self.log.info("No route.", request_id=request.request_id, version=current.table.version)
             return ForwardedAnswer(status=404, detail="no route")
+        digest = request_digest(request.method, request.host, request.target, request.body)
+        if self.losses.is_suspect(digest):
+            self.log.info("Refused: it ends its servers.", request_id=request.request_id)
+            return refusal("servers were lost with this request", random=self.random)
         services = route.shards or (self.routing.service_of(route),)
         inbox = CallerInbox(sock=sock)
         try:
             run = ForwardRun(
-                request=request, route=route, services=services, inbox=inbox, tools=self.tools
+                request=request,
+                digest=digest,
+                route=route,
+                services=services,
+                inbox=inbox,
+                tools=self.tools,
             )
             answer = run.run()
         finally:
@@ -125,6 +160,13 @@
         request, route = run.request, run.route
         took_s = time.monotonic() - request.received_at
         is_late = took_s > route.target_s
+        self.metrics.observe_forwarded(
+            host=route.host,
+            route=route.name,
+            result=str(answer.status) if answer else "caller_left",
+            seconds=took_s,
+            missing=answer.missing if answer else 0,
+        )
         if answer is not None and answer.status < 300 and not answer.missing and not is_late:
             return
         self.log.info(
--- a/src/rhubarbway/services/log.py
+++ b/src/rhubarbway/services/log.py
@@ -1,10 +1,18 @@
-"""Structured logs with a fixed prefix for each part."""
+"""Structured logs on standard output, with a fixed prefix for each part.
+
+A task that logs never waits for the reader of the output: lines go to a bounded queue that one task
+writes out, and lines about single requests are limited to a rate.
+"""
 
 from __future__ import annotations
 
 import logging
 import sys
-from typing import Any
+import threading
+import time
+from collections import deque
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, TextIO
 
 import structlog
 
@@ -37,28 +45,154 @@
     return structlog.get_logger(part=part)
 
 
+# Lines that wait for the reader of the output; later ones are dropped and counted.
+QUEUE_LINES = 4000
+# Pause between two writes, seconds. A write for each line would cost a wake-up each.
+WRITE_INTERVAL_S = 0.05
+# Lines about single requests: at most this many a second over time, and so many at once.
+REQUEST_LINES_PER_S = 60.0
+REQUEST_LINES_BURST = 300.0
+
+
+class LineQueue:
+    """Output stream for structlog that never blocks.
+
+    Parameters
+    ----------
+    stream : TextIO
+        Where one task writes the lines.
+    """
+
+    # structlog keeps a weak reference to its output.
+    __slots__ = ("__weakref__", "arrived", "dropped", "lines", "stopping", "stream")
+
+    def __init__(self, *, stream: TextIO) -> None:
+        self.stream = stream
+        self.lines: deque[str] = deque()
+        self.arrived = threading.Condition()
+        self.dropped = 0
+        self.stopping = False
+
+    def write(self, line: str) -> None:
+        """Queue a line, or count it as dropped."""
+        with self.arrived:
+            if len(self.lines) >= QUEUE_LINES:
+                self.dropped += 1
+                return
+            self.lines.append(line)
+            if len(self.lines) == 1:
+                self.arrived.notify()
+
+    def flush(self) -> None:
+        """Do nothing: the writing task flushes."""
+
+    def write_out(self) -> None:
+        """Task: write the queued lines until the queue is stopped."""
+        while True:
+            with self.arrived:
+                self.arrived.wait_for(lambda: self.lines or self.stopping)
+                stopping = self.stopping
+            if not stopping:
+                time.sleep(WRITE_INTERVAL_S)
+            self.write_pending()
+            if stopping:
+                return
+
+    def write_pending(self) -> None:
+        """Write what is queued now, and how many lines were dropped before it."""
+        with self.arrived:
+            lines, self.lines = list(self.lines), deque()
+            dropped, self.dropped = self.dropped, 0
+        if dropped:
+            lines.append(f'{{"event": "log: Lines dropped.", "count": {dropped}}}\n')
+        try:
+            self.stream.write("".join(lines))
+            self.stream.flush()
+        except (OSError, ValueError):
+            # The reader has closed the output; there is no other place to report that.
+            with self.arrived:
+                self.dropped += len(lines)
+
+    def stop(self) -> None:
+        """Have the task write the rest and end."""
+        with self.arrived:
+            self.stopping = True
+            self.arrived.notify()
+
+
+class RequestLineLimit:
+    """Processor that limits the lines about single requests.
+
+    Examples
+    --------
+    >>> limit = RequestLineLimit(per_s=1.0, burst=1.0, clock=lambda: 5.0)
+    >>> limit(None, "info", {"event": "Answered.", "request_id": "r1"})["event"]
+    'Answered.'
+    >>> limit(None, "info", {"event": "Answered.", "request_id": "r2"})
+    Traceback (most recent call last):
+    ...
+    structlog.exceptions.DropEvent
+    >>> limit(None, "info", {"event": "Started."})["event"]
+    'Started.'
+    """
+
+    __slots__ = ("burst", "clock", "lock", "per_s", "suppressed", "tokens", "updated_at")
+
+    def __init__(self, *, per_s: float, burst: float, clock=time.monotonic) -> None:
+        self.per_s = per_s
+        self.burst = burst
+        self.clock = clock
+        self.tokens = burst
+        self.updated_at = clock()
+        self.suppressed = 0
+        self.lock = threading.Lock()
+
+    def __call__(self, logger: Any, method: str, event: dict[str, Any]) -> dict[str, Any]:
+        if "request_id" not in event:
+            return event
+        with self.lock:
+            now = self.clock()
+            gained = (now - self.updated_at) * self.per_s
+            self.tokens = min(self.burst, self.tokens + gained)
+            self.updated_at = now
+            if self.tokens < 1.0:
+                self.suppressed += 1
+                raise structlog.DropEvent
+            self.tokens -= 1.0
+            suppressed, self.suppressed = self.suppressed, 0
+        if suppressed:
+            event["suppressed_before"] = suppressed
+        return event
+
+
 class LogService:
-    """Sets up structlog once for the process; lines are JSON on standard error."""
+    """Sets up structlog once for the process; lines are JSON on standard output."""
 
-    __slots__ = ("level",)
+    __slots__ = ("executor", "level", "queue")
 
     def __init__(self, *, level: str) -> None:
         self.level = level
+        self.queue = LineQueue(stream=sys.stdout)
+        self.executor = ThreadPoolExecutor(1, thread_name_prefix="log")
 
     def start(self, kernel: Kernel) -> None:
-        """Configure structlog."""
+        """Configure structlog and start the task that writes."""
+        self.executor.submit(self.queue.write_out)
         structlog.configure(
             processors=[
                 structlog.processors.add_log_level,
+                RequestLineLimit(per_s=REQUEST_LINES_PER_S, burst=REQUEST_LINES_BURST),
                 structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.format_exc_info,
                 prefixed,
                 structlog.processors.JSONRenderer(),
             ],
             wrapper_class=structlog.make_filtering_bound_logger(LEVELS[self.level]),
-            logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+            logger_factory=structlog.WriteLoggerFactory(self.queue),
             cache_logger_on_first_use=True,
         )
 
     def stop(self) -> None:
-        """Flush standard error."""
-        sys.stderr.flush()
+        """Write the rest."""
+        self.queue.stop()
+        self.executor.shutdown(wait=True)
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -37,9 +37,13 @@
         "config_version",
         "coverage",
         "dropped",
+        "entry_hosts",
+        "exchanges",
         "executor",
         "failures",
+        "forwarded",
         "latency",
+        "missing_shards",
         "pending",
         "refusals",
         "registry",
@@ -81,6 +85,28 @@
             "Requests that the frontend did not understand or accept, by kind.",
             registry=self.registry,
         )
+        self.forwarded = Histogram(
+            "rhubarbway_forwarded_seconds",
+            "Time from reading a forwarded request to its answer, by host, route and result.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.missing_shards = Counter(
+            "rhubarbway_missing_shards_total",
+            "Shards that answers lacked, by route.",
+            registry=self.registry,
+        )
+        self.exchanges = Histogram(
+            "rhubarbway_exchange_seconds",
+            "Time of attempts at backend servers, by service and end.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.entry_hosts = Gauge(
+            "rhubarbway_entry_hosts",
+            "Entry hosts that share the limits, as this one counts them.",
+            registry=self.registry,
+        )
         self.dropped = Counter(
             "rhubarbway_observations_dropped_total",
             "Faulty observations that were not recorded.",
@@ -158,6 +184,27 @@
         """Count a request that the frontend refused."""
         self.post(lambda: self.refusals.inc({"kind": kind}))
 
+    def observe_forwarded(
+        self, *, host: str, route: str, result: str, seconds: float, missing: int
+    ) -> None:
+        """Record the answer to a forwarded request; ``host`` names the organisation's domain."""
+        labels = {"host": host, "route": route, "result": result}
+
+        def observe() -> None:
+            self.forwarded.observe(labels, seconds)
+            if missing:
+                self.missing_shards.add({"route": route}, missing)
+
+        self.post(observe)
+
+    def observe_exchange(self, *, service: str, end: str, seconds: float) -> None:
+        """Record the end of an attempt at a backend server."""
+        self.post(lambda: self.exchanges.observe({"service": service, "end": end}, seconds))
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Record the number of entry hosts."""
+        self.post(lambda: self.entry_hosts.set({}, count))
+
     def exposition(self) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
--- /dev/null
+++ b/src/rhubarbway/services/metrics_endpoint.py
@@ -0,0 +1,65 @@
+"""Serves the metrics on an address of their own."""
+
+from __future__ import annotations
+
+import queue
+
+from werkzeug.wrappers import Request, Response
+
+from rhubarbway.edge.http_server import HttpServer, address_of
+from rhubarbway.kernel import Kernel
+from rhubarbway.services.log import part_logger
+from rhubarbway.services.metrics import MetricsService
+from rhubarbway.services.names import METRICS
+
+PATH = "/metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4"
+MAX_CONNECTIONS = 8
+
+
+class MetricsEndpoint:
+    """Listens for readers of the metrics.
+
+    Parameters
+    ----------
+    listen : str
+        ``HOST:PORT``; port 0 serves no metrics.
+    """
+
+    __slots__ = ("listen", "log", "metrics", "server")
+
+    def __init__(self, *, listen: str) -> None:
+        self.listen = listen
+        self.log = part_logger("metrics")
+        self.metrics: MetricsService
+        self.server: HttpServer | None = None
+
+    def start(self, kernel: Kernel) -> None:
+        """Listen, unless the port is 0."""
+        self.metrics = kernel.find(METRICS)
+        address = address_of(self.listen)
+        if address[1] == 0:
+            return
+        self.server = HttpServer(
+            address=address,
+            app=self.respond,
+            error_app=lambda status, detail: Response(detail, status=status),
+            max_connections=MAX_CONNECTIONS,
+            name="metrics-endpoint",
+        )
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.stop(grace_s=0.1)
+
+    def respond(self, request: Request) -> Response:
+        """Return the metrics."""
+        if request.path != PATH:
+            return Response(status=404)
+        try:
+            return Response(self.metrics.exposition(), content_type=CONTENT_TYPE)
+        except queue.Empty:
+            self.log.warning("The metrics were not collected in time.")
+            return Response("not collected in time", status=503)
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -14,8 +14,10 @@
     from rhubarbway.services.frontend import FrontendService
     from rhubarbway.services.gateway import GatewayService
     from rhubarbway.services.log import LogService
+    from rhubarbway.services.losses import LossService
     from rhubarbway.services.manifest import ManifestService
     from rhubarbway.services.metrics import MetricsService
+    from rhubarbway.services.metrics_endpoint import MetricsEndpoint
     from rhubarbway.services.peers import PeerService
     from rhubarbway.services.platform import PlatformService
     from rhubarbway.services.queries import QueryService
@@ -42,3 +44,5 @@
 FORWARDING: ServiceKey[ForwardingService] = ServiceKey("forwarding")
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
+METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
+LOSSES: ServiceKey[LossService] = ServiceKey("losses")
