Prove the gateway over stand-ins of the platform: store, replicas, consumers

Change: stand-ins that speak the platform's protocol, a fleet of gateways in the test process, and 33 tests of merging, faulty answers, at most once, draining, configuration, a silent, refusing or forgetful store, and hosts that follow each other. The notice before the listener closes is a setting.

--- /dev/null
+++ b/proofs/gateway_fleet.py
@@ -0,0 +1,80 @@
+"""Gateways of the users' platform in this process, over the stand-ins of the platform."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from rhubarbway.gateway import kernel_of
+from rhubarbway.kernel import Kernel
+from rhubarbway.services.names import GATEWAY, ROUTING, SERVERS
+from rhubarbway.settings import GatewaySettings
+from rhubarbway_standins.platform.site import ZONES, Site
+from rhubarbway_standins.processes import free_ports
+
+READY_LIMIT_S = 10.0
+
+
+def wait_until(condition: Callable[[], bool], *, timeout_s: float = READY_LIMIT_S) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not hold in time.
+    """
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() >= end:
+            raise TimeoutError("the condition does not hold in time")
+        time.sleep(0.02)
+
+
+class GatewayFleet:
+    """A site and a few gateways; used as a context manager."""
+
+    def __init__(self, *, hosts: int = 2, shards: int = 4) -> None:
+        self.ports = free_ports()
+        self.site = Site(ports=self.ports, shards=shards)
+        self.settings: list[GatewaySettings] = []
+        self.kernels: list[Kernel] = []
+        for _ in range(hosts):
+            self.add_host()
+
+    def __enter__(self) -> GatewayFleet:
+        for kernel in self.kernels:
+            wait_until(lambda kernel=kernel: self.is_informed(kernel))
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for kernel in self.kernels:
+            kernel.stop()
+        self.site.__exit__()
+
+    def add_host(self) -> Kernel:
+        """Start one more gateway."""
+        number = len(self.settings)
+        settings = self.site.settings(
+            f"g{number}",
+            zone=ZONES[number % len(ZONES)],
+            seeds=[known.peer_listen for known in self.settings[:2]],
+        )
+        kernel = kernel_of(settings)
+        kernel.start()
+        self.settings.append(settings)
+        self.kernels.append(kernel)
+        return kernel
+
+    def is_informed(self, kernel: Kernel) -> bool:
+        """Whether a gateway is ready and knows all replicas."""
+        known = sum(len(pools) for pools in kernel.find(SERVERS).by_service.values())
+        return kernel.find(GATEWAY).is_ready() and known == len(self.site.replicas)
+
+    @property
+    def addresses(self) -> list[str]:
+        """Where callers reach the gateways."""
+        return [settings.listen for settings in self.settings]
+
+    def version(self, number: int) -> int:
+        """Return the configuration version in force at a gateway."""
+        return self.kernels[number].find(ROUTING).version
--- /dev/null
+++ b/proofs/test_gateway.py
@@ -0,0 +1,321 @@
+"""The gateway over stand-ins of the users' platform: real sockets, faults of store and replicas."""
+
+import contextlib
+import http.client
+import socket
+import threading
+import time
+
+import pytest
+
+from proofs.gateway_fleet import GatewayFleet, wait_until
+from rhubarbway.services import registry
+from rhubarbway.services.names import REGISTRY, SERVERS
+from rhubarbway_standins.platform.consumer import asked, asked_once, merged_answer_problem
+from rhubarbway_standins.platform.site import BOARD, BOOKING, HOST, SEARCH, SINGLE
+from rhubarbway_standins.platform.store import StoreMode
+
+QUICK_S = 0.6
+
+
+@pytest.fixture
+def fleet():
+    with GatewayFleet(hosts=2) as started:
+        yield started
+
+
+def search_problem(fleet, reply, target):
+    """Return what is wrong with the answer to a search."""
+    if reply.status != 200:
+        return f"status {reply.status}: {reply.body!r}"
+    return merged_answer_problem(
+        reply, target=target, shards=fleet.site.shards, record_limit=10, min_coverage=0.75
+    )
+
+
+def searched(fleet, name, **options):
+    """Send a search and return the reply and what is wrong with it."""
+    target = f"{SEARCH}{name}?sort=new"
+    reply = asked_once(fleet.addresses[0], host=HOST, target=target, **options)
+    return reply, search_problem(fleet, reply, target)
+
+
+class TestSearch:
+    def test_merges_the_greatest_records_of_all_shards(self, fleet):
+        reply, problem = searched(fleet, "a1")
+        assert problem is None
+        assert reply.headers["x-missing-shards"] == "0"
+
+    def test_each_shard_sees_the_request_unchanged_and_once(self, fleet):
+        reply, _ = searched(fleet, "a2")
+        arrivals = [found for found in fleet.site.arrivals if found.request_id == reply.request_id]
+        assert sorted(found.service for found in arrivals) == sorted(fleet.site.shards)
+        assert {found.target for found in arrivals} == {f"{SEARCH}a2?sort=new"}
+        assert all(0 < found.deadline_ms <= 1000 for found in arrivals)
+
+    def test_a_paused_replica_costs_a_second_attempt_not_the_answer(self, fleet):
+        for replica in fleet.site.replicas_of("desk-0")[:1]:
+            replica.unpaused.clear()
+        for number in range(6):
+            reply, problem = searched(fleet, f"b{number}")
+            assert problem is None
+            assert reply.headers["x-missing-shards"] == "0"
+
+    def test_a_lost_shard_is_named_as_missing_in_time(self, fleet):
+        for replica in fleet.site.replicas_of("desk-1"):
+            replica.unpaused.clear()
+        reply, problem = searched(fleet, "c1")
+        assert problem is None
+        assert reply.headers["x-missing-shards"] == "1"
+        # The target of the route is 250 ms.
+        assert reply.seconds < QUICK_S
+
+    def test_too_few_shards_are_a_failure(self, fleet):
+        for service in ("desk-0", "desk-1"):
+            for replica in fleet.site.replicas_of(service):
+                replica.unpaused.clear()
+        reply, _ = searched(fleet, "d1")
+        assert reply.status in (502, 504)
+
+    def test_an_answer_without_enough_known_servers_is_refused_unsent(self, fleet):
+        for service in ("desk-0", "desk-1"):
+            for replica in fleet.site.replicas_of(service):
+                fleet.site.register(replica, state="draining")
+        servers = fleet.kernels[0].find(SERVERS)
+        wait_until(lambda: not servers.by_service.get("desk-1"))
+        reply, _ = searched(fleet, "e1")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert reply.request_id not in {found.request_id for found in fleet.site.arrivals}
+
+
+class TestFaultyAnswers:
+    """Answers that a replica spoils must not reach a caller, nor a later request."""
+
+    def truncated(self, sock, data):
+        sock.sendall(data[: len(data) // 2])
+        return True
+
+    def garbage(self, sock, data):
+        sock.sendall(b"\x16\x03\x01 not an answer\r\n\r\n")
+        return True
+
+    def reset(self, sock, data):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+        return True
+
+    def doubled(self, sock, data):
+        sock.sendall(data + data)
+        # The connection stays open, and the regular answer follows as a third one.
+        return False
+
+    def without_proof(self, sock, data):
+        sock.sendall(data.replace(b"X-Server-Stamp", b"X-Other-Stamp"))
+        return True
+
+    def of_another_request(self, sock, data):
+        sock.sendall(data.replace(b"X-Request-Id: ", b"X-Request-Id: other"))
+        return True
+
+    @pytest.mark.parametrize(
+        "fault",
+        ["truncated", "garbage", "reset", "doubled", "without_proof", "of_another_request"],
+    )
+    def test_no_spoilt_answer_passes(self, fleet, fault):
+        fleet.site.replicas_of("desk-2")[0].fault = getattr(self, fault)
+        for number in range(8):
+            reply, problem = searched(fleet, f"{fault}{number}")
+            assert problem is None, reply.headers
+
+    @pytest.mark.parametrize("fault", ["truncated", "garbage", "reset", "without_proof"])
+    def test_a_booking_with_a_spoilt_answer_runs_once_and_is_not_refused(self, fleet, fault):
+        for replica in fleet.site.replicas_of(BOARD):
+            replica.fault = getattr(self, fault)
+        target = f"{BOOKING}{fault}"
+        reply = asked_once(
+            fleet.addresses[0], host=HOST, target=target, method="POST", body=b"tank 7"
+        )
+        # 503 would promise that the booking has not run.
+        assert reply.status in (502, 504)
+        ran = [found for found in fleet.site.arrivals if found.target == target and found.ran]
+        assert len(ran) == 1
+
+
+class TestSingle:
+    def test_passes_the_answer_on_unchanged(self, fleet):
+        reply = asked_once(fleet.addresses[0], host=HOST, target=f"{SINGLE}7")
+        assert reply.status == 200
+        assert reply.headers["x-server-stamp"].startswith(BOARD)
+        assert reply.headers["x-request-id"] == reply.request_id
+
+    def test_without_a_route_is_404(self, fleet):
+        assert asked_once(fleet.addresses[0], host=HOST, target="/none/7").status == 404
+
+    def test_without_an_id_is_400(self, fleet):
+        connection = http.client.HTTPConnection(fleet.addresses[0], timeout=5)
+        connection.request("GET", f"{SINGLE}7", headers={"Host": HOST})
+        assert connection.getresponse().status == 400
+        connection.close()
+
+    def test_a_lost_answer_is_asked_again_when_that_is_allowed(self, fleet):
+        fleet.site.replicas_of(BOARD)[0].fault = TestFaultyAnswers().truncated
+        replies = [
+            asked(fleet.addresses, host=HOST, target=f"{SINGLE}{number}") for number in range(6)
+        ]
+        assert [reply.status for reply in replies] == [200] * 6
+
+    def test_a_caller_that_leaves_ends_the_work(self, fleet):
+        for replica in fleet.site.replicas_of(BOARD):
+            replica.unpaused.clear()
+        servers = fleet.kernels[0].find(SERVERS)
+        sock = socket.create_connection(fleet.addresses[0].split(":"), timeout=5)
+        sock.sendall(
+            f"GET {SINGLE}8 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: leaver\r\n"
+            "X-Deadline-Ms: 5000\r\n\r\n".encode()
+        )
+
+        def outstanding():
+            return sum(len(pool.state.outstanding) for pool in servers.by_service[BOARD])
+
+        wait_until(lambda: outstanding() == 1)
+        sock.close()
+        wait_until(lambda: outstanding() == 0, timeout_s=QUICK_S)
+
+
+class TestConfiguration:
+    def test_a_new_version_is_in_force_on_all_hosts(self, fleet):
+        fleet.site.publish(fleet.site.configuration(topK=3))
+        for number in range(2):
+            wait_until(
+                lambda number=number: fleet.version(number) == fleet.site.version, timeout_s=3.0
+            )
+        reply, _ = searched(fleet, "f1")
+        assert len(reply.body) == 3 * 16
+
+    def test_an_older_version_and_a_faulty_one_change_nothing(self, fleet):
+        version = fleet.version(0)
+        older = fleet.site.configuration() | {"version": 1}
+        fleet.site.publish(older)
+        fleet.site.store.put("op/config", b'{"version": 999, "routes": 5}')
+        fleet.site.store.put("servers/i-odd", b'{"service": 7}')
+        fleet.site.store.put("servers/i-bytes", b"\xff\x00")
+        time.sleep(1.0)
+        assert [fleet.version(number) for number in range(2)] == [version, version]
+        assert searched(fleet, "g1")[1] is None
+
+    def test_a_host_without_configuration_refuses_with_a_time(self):
+        with GatewayFleet(hosts=1) as fleet:
+            fleet.site.store.set_mode(StoreMode.REFUSING)
+            late = GatewayFleet.add_host
+            fleet.settings.clear()
+            kernel = late(fleet)
+            reply = asked_once(fleet.addresses[0], host=HOST, target=f"{SINGLE}1")
+            assert kernel.find(REGISTRY).complete is False
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+
+    def test_a_silent_store_does_not_keep_later_versions_away(self, fleet):
+        """Guards against a watch that hangs on a store which fell silent while it waited."""
+        fleet.site.store.set_mode(StoreMode.SILENT)
+        time.sleep(registry.WATCH_WAIT_S)
+        fleet.site.store.set_mode(StoreMode.UP)
+        fleet.site.publish(fleet.site.configuration())
+        for number in range(2):
+            wait_until(
+                lambda number=number: fleet.version(number) == fleet.site.version, timeout_s=3.0
+            )
+
+    def test_lost_history_is_read_anew(self, fleet):
+        fleet.site.store.forget_history()
+        fleet.site.publish(fleet.site.configuration())
+        for number in range(2):
+            wait_until(
+                lambda number=number: fleet.version(number) == fleet.site.version, timeout_s=3.0
+            )
+
+
+class TestServers:
+    def test_a_draining_server_gets_no_request_after_a_moment(self, fleet):
+        leaving = fleet.site.replicas_of("desk-3")[0]
+        leaving.draining = True
+        fleet.site.register(leaving)
+        servers = fleet.kernels[0].find(SERVERS)
+        wait_until(lambda: len(servers.by_service["desk-3"]) == 1, timeout_s=3.0)
+        began = time.monotonic()
+        for number in range(5):
+            assert searched(fleet, f"h{number}")[1] is None
+        late = [
+            found
+            for found in fleet.site.arrivals
+            if found.server == leaving.server_id and found.at > began
+        ]
+        assert late == []
+
+    def test_an_address_that_another_server_took_over_is_not_used_for_the_old_one(self, fleet):
+        """Guards against a request that is run by the service which has reused an address."""
+        first, second = fleet.site.replicas_of("desk-0")
+        # The entry of one replica now names the address of a replica of another service.
+        other = fleet.site.replicas_of("desk-1")[0]
+        fleet.site.store.put(f"servers/{first.server_id}", first.entry(address=other.address))
+        servers = fleet.kernels[0].find(SERVERS)
+        wait_until(
+            lambda: any(
+                pool.server.address == other.address for pool in servers.by_service["desk-0"]
+            )
+        )
+        for number in range(6):
+            assert searched(fleet, f"i{number}")[1] is None
+
+    def test_entries_that_lapse_together_stay_in_use_for_a_moment(self, fleet):
+        """Guards against a store that forgets its entries during an outage nobody noticed."""
+        for replica in fleet.site.replicas:
+            fleet.site.store.delete(f"servers/{replica.server_id}")
+        time.sleep(0.8)
+        assert searched(fleet, "j1")[1] is None
+        for replica in fleet.site.replicas:
+            fleet.site.register(replica)
+        time.sleep(registry.RETURN_GRACE_S)
+        assert searched(fleet, "j2")[1] is None
+
+
+class TestFleet:
+    def test_few_hosts_read_the_store_for_all(self):
+        with GatewayFleet(hosts=5) as fleet:
+            before = fleet.site.store.calls
+            time.sleep(2 * registry.WATCH_WAIT_S)
+            # Two readers with two watches each, and one that was waiting at either end.
+            assert fleet.site.store.calls - before <= 6
+
+    def test_a_version_reaches_hosts_that_the_store_turns_away(self):
+        with GatewayFleet(hosts=3) as fleet:
+            fleet.site.store.set_mode(StoreMode.REFUSING)
+            fleet.add_host()
+            wait_until(lambda: fleet.version(3) == fleet.site.version, timeout_s=4.0)
+            assert fleet.is_informed(fleet.kernels[3])
+
+
+class TestPressure:
+    def test_callers_at_once_get_right_answers(self, fleet):
+        problems = []
+
+        def caller(name):
+            for number in range(10):
+                reply, problem = searched(fleet, f"{name}{number}", deadline_ms=3000)
+                if reply.status == 200 and problem:
+                    problems.append(problem)
+
+        threads = [threading.Thread(target=caller, args=(f"k{n}x",)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert problems == []
+
+    def test_bytes_that_are_no_request_end_only_their_connection(self, fleet):
+        for data in (b"\x00\xff" * 50, b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 40_000):
+            sock = socket.create_connection(fleet.addresses[0].split(":"), timeout=5)
+            sock.sendall(data)
+            with contextlib.suppress(OSError):
+                sock.recv(1000)
+            sock.close()
+        assert searched(fleet, "m1")[1] is None
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -78,6 +78,7 @@
         GatewayService(
             listen=settings.listen,
             ready_listen=settings.ready_listen,
+            notice_s=settings.leave_notice_s,
             grace_s=settings.grace_s,
             max_connections=settings.max_connections,
             decode=request_of,
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -20,9 +20,6 @@
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
 
-# After the load balancer was told, it takes this long until no new connection comes, seconds: it
-# asks once a second and believes the second refusal.
-LEAVE_NOTICE_S = 2.3
 # Time from the signal to the end of the process that requests in flight may use, as a share of the
 # grace of the platform.
 GRACE_SHARE = 0.87
@@ -39,6 +36,8 @@
     ----------
     listen, ready_listen : str
         ``HOST:PORT`` for callers and for the load balancer's questions.
+    notice_s : float
+        Time between reporting not ready and closing the listener, seconds.
     grace_s : float
         Time that the platform gives a process to stop, seconds.
     max_connections : int
@@ -57,6 +56,7 @@
         "listen",
         "log",
         "max_connections",
+        "notice_s",
         "ready_listen",
         "ready_server",
         "registry",
@@ -69,6 +69,7 @@
         *,
         listen: str,
         ready_listen: str,
+        notice_s: float,
         grace_s: float,
         max_connections: int,
         decode: DecodeRequest,
@@ -76,6 +77,7 @@
     ) -> None:
         self.listen = listen
         self.ready_listen = ready_listen
+        self.notice_s = notice_s
         self.grace_s = grace_s
         self.max_connections = max_connections
         self.decode = decode
@@ -120,8 +122,8 @@
         self.leaving.set()
         self.fleet.leave()
         self.server.leave()
-        self.log.info("Leaving.", notice_s=LEAVE_NOTICE_S)
-        threading.Event().wait(LEAVE_NOTICE_S)
+        self.log.info("Leaving.", notice_s=self.notice_s)
+        threading.Event().wait(self.notice_s)
         left_s = began + GRACE_SHARE * self.grace_s - time.monotonic()
         cut = self.server.stop(grace_s=left_s)
         self.ready_server.stop(grace_s=0.1)
--- a/src/rhubarbway/settings/gateway.py
+++ b/src/rhubarbway/settings/gateway.py
@@ -29,6 +29,9 @@
         ``IP:PORT`` of the platform's store.
     metrics_port : int
         Port of the metrics, on the address of ``listen``; 0 serves none.
+    leave_notice_s : float
+        Time between reporting not ready and closing the listener, seconds. A load balancer that
+        asks once a second and believes the second refusal needs a little over 2 s.
     grace_s : float
         Time from SIGTERM until the platform kills the process, seconds.
     retry_ratio, retry_allowance, retry_window_s : float
@@ -42,6 +45,7 @@
 
     __slots__ = (
         "grace_s",
+        "leave_notice_s",
         "listen",
         "log_level",
         "max_connections",
@@ -68,6 +72,7 @@
         store: str,
         seeds: Iterable[str] = (),
         metrics_port: int = 0,
+        leave_notice_s: float = 2.3,
         grace_s: float = 6.0,
         retry_ratio: float = 0.1,
         retry_allowance: float = 10.0,
@@ -83,6 +88,7 @@
         self.store = store
         self.seeds = list(seeds)
         self.metrics_port = metrics_port
+        self.leave_notice_s = leave_notice_s
         self.grace_s = grace_s
         self.retry_ratio = retry_ratio
         self.retry_allowance = retry_allowance
--- /dev/null
+++ b/src/rhubarbway_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store, replicas and consumers, by their protocol."""
--- /dev/null
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -0,0 +1,216 @@
+"""Stand-in for a replica: slots, a queue, pauses, draining, and faults of its answers."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from werkzeug.wrappers import Request, Response
+
+from rhubarbway.edge.http_server import SOCKET_KEY, HttpServer
+from rhubarbway.edge.json_codec import encoded
+
+RECORD_BYTES = 16
+RECORDS = 40
+# Requests that wait for a slot; a further one is refused.
+QUEUE_LIMIT = 18
+
+
+class Arrival:
+    """A request that reached a replica; ``ran`` is false if the replica refused it."""
+
+    __slots__ = ("at", "deadline_ms", "ran", "request_id", "server", "service", "target")
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        target: str,
+        service: str,
+        server: str,
+        deadline_ms: int,
+        at: float,
+        ran: bool,
+    ) -> None:
+        self.request_id = request_id
+        self.target = target
+        self.service = service
+        self.server = server
+        self.deadline_ms = deadline_ms
+        self.at = at
+        self.ran = ran
+
+
+class PlatformReplica:
+    """One replica of a service.
+
+    Attributes
+    ----------
+    fault : callable or None
+        Called with the socket and the whole response in place of sending it; returns True if it
+        has dealt with the connection.
+    slow_s : float
+        Time that each request takes, seconds.
+    paused : threading.Event
+        Requests wait while it is cleared.
+    """
+
+    __slots__ = (
+        "arrivals",
+        "draining",
+        "fault",
+        "lock",
+        "on_arrival",
+        "running",
+        "server",
+        "server_id",
+        "service",
+        "slots",
+        "slow_s",
+        "unpaused",
+        "waiting",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        server_id: str,
+        service: str,
+        zone: str,
+        address: tuple[str, int],
+        slots: int = 3,
+        slow_s: float = 0.005,
+        on_arrival: Callable[[Arrival], None] = lambda arrival: None,
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.zone = zone
+        self.slots = threading.BoundedSemaphore(slots)
+        self.running = slots
+        self.slow_s = slow_s
+        self.draining = False
+        self.fault: Callable[[socket.socket, bytes], bool] | None = None
+        self.unpaused = threading.Event()
+        self.unpaused.set()
+        self.waiting = 0
+        self.lock = threading.Lock()
+        self.on_arrival = on_arrival
+        self.server = HttpServer(
+            address=address,
+            app=self.respond,
+            error_app=lambda status, detail: Response(detail, status=status),
+            max_connections=64,
+            name=server_id,
+        )
+        self.server.start()
+
+    @property
+    def address(self) -> str:
+        """``HOST:PORT``."""
+        return "{}:{}".format(*self.server.address)
+
+    def entry(self, **changes: object) -> bytes:
+        """Return what the replica writes to the store about itself."""
+        return encoded(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.running,
+                "state": "draining" if self.draining else "ready",
+                "warmupLeftMs": 0,
+                "sequence": 1,
+                "born": 1_700_000_000_000,
+            }
+            | changes
+        )
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.unpaused.set()
+        self.server.stop(grace_s=0.0)
+
+    def respond(self, request: Request) -> Response:
+        """Run a request in a slot, or refuse it."""
+        request_id = request.headers.get("X-Request-Id", "")
+        expected = request.headers.get("X-Expect-Instance", self.server_id)
+        if expected != self.server_id:
+            return self.refusal(421, request_id)
+        if not request_id:
+            return self.refusal(400, request_id)
+        deadline_ms = int(request.headers.get("X-Deadline-Ms", "60000"))
+        with self.lock:
+            full = self.waiting >= QUEUE_LIMIT
+            self.waiting += not full
+        if full:
+            self.note(request, deadline_ms, ran=False)
+            return self.refusal(503, request_id)
+        try:
+            with self.slots:
+                self.note(request, deadline_ms, ran=True)
+                time.sleep(self.slow_s)
+                self.unpaused.wait()
+        finally:
+            with self.lock:
+                self.waiting -= 1
+        body = records(self.service, request.full_path.rstrip("?"))
+        response = Response(body, content_type="application/octet-stream")
+        response.headers["X-Request-Id"] = request_id
+        response.headers["X-Server-Stamp"] = proof(self.service, request_id, body)
+        if self.fault is not None:
+            self.apply_fault(request, response, body)
+        return response
+
+    def apply_fault(self, request: Request, response: Response, body: bytes) -> None:
+        """Hand the whole response to the fault; a closed socket keeps it from being sent."""
+        lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in response.headers.items()]
+        sock = request.environ[SOCKET_KEY]
+        assert self.fault is not None
+        if self.fault(sock, "\r\n".join([*lines, "", ""]).encode() + body):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def note(self, request: Request, deadline_ms: int, *, ran: bool) -> None:
+        """Report the arrival of a request."""
+        self.on_arrival(
+            Arrival(
+                request_id=request.headers["X-Request-Id"],
+                target=request.full_path.rstrip("?"),
+                service=self.service,
+                server=self.server_id,
+                deadline_ms=deadline_ms,
+                at=time.monotonic(),
+                ran=ran,
+            )
+        )
+
+    def refusal(self, status: int, request_id: str) -> Response:
+        """Return the answer to a request that is not run."""
+        response = Response(status=status)
+        response.headers["X-Not-Executed"] = "1"
+        response.headers["X-Instance-Id"] = self.server_id
+        if request_id:
+            response.headers["X-Request-Id"] = request_id
+        return response
+
+
+def records(service: str, target: str) -> bytes:
+    """Return the records that each replica of a service holds for a target."""
+    digests = [
+        hashlib.md5(f"{service} {target} {number}".encode(), usedforsecurity=False).digest()
+        for number in range(RECORDS)
+    ]
+    return b"".join(digests) + b"rest"
+
+
+def proof(service: str, request_id: str, body: bytes) -> str:
+    """Return the proof of a replica's answer; it names service and request."""
+    digest = hashlib.md5(body, usedforsecurity=False).hexdigest()[:8]
+    return f"{service}.{request_id}.{digest}"
--- /dev/null
+++ b/src/rhubarbway_standins/platform/site.py
@@ -0,0 +1,137 @@
+"""A small deployment of the users' platform on loopback: store, replicas, configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from rhubarbway.edge.json_codec import encoded
+from rhubarbway.settings import GatewaySettings
+from rhubarbway_standins.platform.replica import Arrival, PlatformReplica
+from rhubarbway_standins.platform.store import PlatformStore
+
+ZONES = ("north", "south")
+HOST = "desk.example"
+SEARCH = "/lots/"
+SINGLE = "/waybills/"
+BOOKING = "/bookings/"
+BOARD = "carrier-board"
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 262144,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+
+
+class Site:
+    """Store and replicas with a configuration for three routes.
+
+    Parameters
+    ----------
+    ports : iterator of int
+        Free ports on loopback.
+    shards : int
+        Shards of the search route; each has one replica in each zone.
+    """
+
+    __slots__ = ("arrivals", "ports", "replicas", "shards", "store", "version")
+
+    def __init__(self, *, ports: Iterator[int], shards: int = 4) -> None:
+        self.ports = ports
+        self.arrivals: list[Arrival] = []
+        self.store = PlatformStore(address=("127.0.0.1", next(ports)))
+        self.shards = [f"desk-{number}" for number in range(shards)]
+        self.version = 0
+        self.replicas: list[PlatformReplica] = []
+        for service in (*self.shards, BOARD):
+            for zone in ZONES:
+                self.add_replica(service, zone)
+        self.publish(self.configuration())
+
+    def __enter__(self) -> Site:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.store.stop()
+        for replica in self.replicas:
+            replica.stop()
+
+    def add_replica(self, service: str, zone: str) -> PlatformReplica:
+        """Start a replica and register it."""
+        replica = PlatformReplica(
+            server_id=f"i-{len(self.replicas):04x}",
+            service=service,
+            zone=zone,
+            address=("127.0.0.1", next(self.ports)),
+            on_arrival=self.arrivals.append,
+        )
+        self.replicas.append(replica)
+        self.register(replica)
+        return replica
+
+    def register(self, replica: PlatformReplica, **changes: object) -> None:
+        """Write the entry of a replica to the store."""
+        self.store.put(f"servers/{replica.server_id}", replica.entry(**changes))
+
+    def replicas_of(self, service: str) -> list[PlatformReplica]:
+        """Return the replicas of a service."""
+        return [replica for replica in self.replicas if replica.service == service]
+
+    def configuration(self, **search: Any) -> dict[str, Any]:
+        """Return the next configuration; ``search`` changes the fields of the search route."""
+        self.version += 3
+        timing = {"timeoutMs": 1000, "targetLatencyMs": 250, "priority": 1, "maxAttempts": 2}
+        route = {
+            "name": "search",
+            "host": HOST,
+            "pathPrefix": SEARCH,
+            "routeType": "safe",
+            "gather": self.shards,
+            "topK": 10,
+            "minShardRatio": 0.75,
+        }
+        single = {
+            "name": "single",
+            "host": HOST,
+            "pathPrefix": SINGLE,
+            "routeType": "safe",
+            "service": BOARD,
+        }
+        booking = {
+            "name": "booking",
+            "host": HOST,
+            "pathPrefix": BOOKING,
+            "routeType": "unsafe",
+            "service": BOARD,
+        }
+        services = (*self.shards, BOARD)
+        return {
+            "version": self.version,
+            "routes": [timing | route | search, timing | single, timing | booking],
+            "services": [
+                {"name": name, "healthPath": "/health", "maxConnections": 30} for name in services
+            ],
+            "limits": LIMITS,
+        }
+
+    def publish(self, document: dict[str, Any]) -> None:
+        """Write a configuration to the store."""
+        self.store.put("op/config", encoded(document))
+
+    def settings(self, name: str, *, zone: str, seeds: list[str]) -> GatewaySettings:
+        """Return the settings of one more entry host."""
+        return GatewaySettings(
+            name=name,
+            zone=zone,
+            listen=f"127.0.0.1:{next(self.ports)}",
+            ready_listen=f"127.0.0.1:{next(self.ports)}",
+            peer_listen=f"127.0.0.1:{next(self.ports)}",
+            store=self.store.address,
+            seeds=seeds,
+            retry_ratio=0.2,
+            retry_allowance=58.0,
+            leave_notice_s=0.0,
+            grace_s=1.0,
+            log_level="warning",
+        )
--- /dev/null
+++ b/src/rhubarbway_standins/platform/store.py
@@ -0,0 +1,162 @@
+"""Stand-in for the platform's metadata store: pages, watches, 410, refusals, silence."""
+
+from __future__ import annotations
+
+import base64
+import threading
+from enum import Enum
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from rhubarbway.edge.http_server import HttpServer
+from rhubarbway.edge.json_codec import encoded
+
+JSON = "application/json"
+LONGEST_WAIT_S = 30.0
+PAGE_ITEMS = 50
+
+
+class StoreMode(Enum):
+    """How the store treats calls."""
+
+    UP = "up"
+    # Answers 503 to every call.
+    REFUSING = "refusing"
+    # Answers no call; waiting watches are answered when the store is up again.
+    SILENT = "silent"
+
+
+class PlatformStore:
+    """Holds items and answers reads and watches; tests write to it and let it fail."""
+
+    __slots__ = ("calls", "changed", "events", "first_kept", "items", "mode", "revision", "server")
+
+    def __init__(self, *, address: tuple[str, int]) -> None:
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.first_kept = 0
+        self.revision = 1
+        self.calls = 0
+        self.mode = StoreMode.UP
+        self.changed = threading.Condition()
+        self.server = HttpServer(
+            address=address,
+            app=self.respond,
+            error_app=lambda status, detail: Response(detail, status=status),
+            max_connections=256,
+            name="store",
+        )
+        self.server.start()
+
+    @property
+    def address(self) -> str:
+        """``HOST:PORT``."""
+        return "{}:{}".format(*self.server.address)
+
+    def stop(self) -> None:
+        """End waiting watches and stop."""
+        self.set_mode(StoreMode.REFUSING)
+        self.server.stop(grace_s=0.0)
+
+    def set_mode(self, mode: StoreMode) -> None:
+        """Change how calls are treated from now on."""
+        with self.changed:
+            self.mode = mode
+            self.changed.notify_all()
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write an item and return its revision."""
+        with self.changed:
+            self.revision += 1
+            self.items[key] = (value, self.revision)
+            self.events.append(item_document(key, value, self.revision))
+            self.changed.notify_all()
+            return self.revision
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        with self.changed:
+            if self.items.pop(key, None) is not None:
+                self.revision += 1
+                event = {"key": key, "revision": self.revision, "compacted": True}
+                self.events.append(event)
+                self.changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Answer 410 to watches that continue from before now."""
+        with self.changed:
+            self.events.clear()
+            self.first_kept = self.revision
+            self.changed.notify_all()
+
+    def respond(self, request: Request) -> Response:
+        """Answer a call."""
+        handlers = {
+            "/v1/kv-key": self.answer_key,
+            "/v1/kv-range": self.answer_range,
+            "/v1/kv-watch": self.answer_watch,
+        }
+        with self.changed:
+            self.calls += 1
+            self.changed.wait_for(lambda: self.mode is not StoreMode.SILENT)
+            if self.mode is StoreMode.REFUSING:
+                return Response(status=503)
+            handler = handlers.get(request.path)
+            return handler(request) if handler else Response(status=404)
+
+    def answer_key(self, request: Request) -> Response:
+        """Return one item."""
+        key = request.args.get("key", "")
+        if key not in self.items:
+            return Response(status=404)
+        value, revision = self.items[key]
+        body = item_document(key, value, revision) | {"atRev": self.revision}
+        return Response(encoded(body), content_type=JSON)
+
+    def answer_range(self, request: Request) -> Response:
+        """Return one page of items."""
+        prefix = request.args.get("pathPrefix", "")
+        after = request.args.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [item_document(key, *self.items[key]) for key in keys[:PAGE_ITEMS]]
+        body = {"items": page, "hasMore": len(keys) > PAGE_ITEMS, "atRev": self.revision}
+        return Response(encoded(body), content_type=JSON)
+
+    def answer_watch(self, request: Request) -> Response:
+        """Return the events after a revision, waiting for the first one."""
+        prefix = request.args.get("pathPrefix", "")
+        after = request.args.get("after", 0, type=int)
+        wait_s = min(request.args.get("waitMs", 0, type=int) / 1000, LONGEST_WAIT_S)
+
+        def found() -> list[dict[str, Any]]:
+            return [
+                event
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+
+        self.changed.wait_for(
+            lambda: (self.mode is not StoreMode.SILENT and bool(found()))
+            or after < self.first_kept
+            or self.mode is StoreMode.REFUSING,
+            timeout=wait_s,
+        )
+        self.changed.wait_for(lambda: self.mode is not StoreMode.SILENT)
+        if self.mode is StoreMode.REFUSING:
+            return Response(status=503)
+        if after < self.first_kept:
+            return Response(status=410)
+        body = {"events": found(), "atRev": self.revision}
+        return Response(encoded(body), content_type=JSON)
+
+
+def item_document(key: str, value: bytes, revision: int) -> dict[str, Any]:
+    """Return an item as the store writes it."""
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "revision": revision,
+        "createdRev": revision,
+        "leaseId": 0,
+    }
