Send an answer that covers enough at the target, also when the task wakes a moment later

Cause: the instant at which a partial answer leaves was computed anew after the wait.

Change: whether the target was missed is decided once, from the shards that had answered by then.

--- a/src/rhubarbway/decisions/attempt_timing.py
+++ b/src/rhubarbway/decisions/attempt_timing.py
@@ -39,17 +39,15 @@
     return min(max(wanted, earliest), LATEST_SHARE * route.target_s)
 
 
-def partial_answer_at(route: Route, *, received_at: float, deadline: float, now: float) -> float:
-    """Return the next instant at which an answer with enough shards is sent as it is.
+def full_value_until(route: Route, *, received_at: float) -> float:
+    """Return the instant until which an answer that leaves has its full value."""
+    return received_at + route.target_s - TARGET_MARGIN_S
 
-    Until the target passes this is shortly before it; after that, one more share of the target
-    later, and at last shortly before the deadline.
-    """
-    at_target = received_at + route.target_s - TARGET_MARGIN_S
-    last = deadline - DEADLINE_MARGIN_S
-    if now <= at_target:
-        return min(at_target, last)
-    return min(at_target + LATE_SHARE * route.target_s, last)
+
+def late_answer_at(route: Route, *, received_at: float, deadline: float) -> float:
+    """Return the instant at which an answer that missed the target leaves at the latest."""
+    late = full_value_until(route, received_at=received_at) + LATE_SHARE * route.target_s
+    return min(late, deadline - DEADLINE_MARGIN_S)
 
 
 def covers_enough(route: Route, answered: int) -> bool:
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -7,7 +7,11 @@
 from random import Random
 
 from rhubarbway.decisions.arrival_budget import ArrivalBudget
-from rhubarbway.decisions.attempt_timing import TARGET_MARGIN_S, covers_enough, partial_answer_at
+from rhubarbway.decisions.attempt_timing import (
+    covers_enough,
+    full_value_until,
+    late_answer_at,
+)
 from rhubarbway.decisions.forward_answers import (
     failed_answer,
     merged_answer,
@@ -179,6 +183,7 @@
         "digest",
         "inbox",
         "is_fan_out",
+        "missed_target",
         "request",
         "route",
         "second_delay_s",
@@ -207,19 +212,16 @@
         self.shards = {service: ShardRun(service=service) for service in services}
         self.usual_s = tools.usual_s(route)
         self.second_delay_s = tools.second_attempt_delay(route)
-        # An answer that leaves by then has its full value.
-        self.answer_by = request.received_at + route.target_s - TARGET_MARGIN_S
+        received_at = request.received_at
+        self.answer_by = full_value_until(route, received_at=received_at)
         # The answer of a fan-out leaves at the latest then, and servers need not work any longer.
         self.attempt_deadline = (
-            partial_answer_at(
-                route,
-                received_at=request.received_at,
-                deadline=self.deadline,
-                now=self.deadline,
-            )
+            late_answer_at(route, received_at=received_at, deadline=self.deadline)
             if self.is_fan_out
             else self.deadline
         )
+        # Whether too few shards had answered when the target passed.
+        self.missed_target = False
 
     def run(self) -> ForwardedAnswer | None:
         """Run the request and return its answer, or None if the caller has left."""
@@ -229,9 +231,11 @@
         self.send_first_attempts()
         while not self.is_finished():
             now = time.monotonic()
-            end = self.end_of_wait(now)
-            if now >= end:
+            if now >= self.end_of_wait():
                 break
+            if now >= self.answer_by:
+                self.missed_target = True
+            end = self.end_of_wait()
             second_at = min((shard.second_at for shard in self.open_shards()), default=end)
             for outcome in self.inbox.take(min(end, second_at) - now):
                 self.take(outcome)
@@ -260,16 +264,17 @@
         """Return the number of shards with a reply."""
         return sum(shard.reply is not None for shard in self.shards.values())
 
-    def end_of_wait(self, now: float) -> float:
-        """Return the instant at which the answer leaves, whatever is still missing."""
-        if self.is_fan_out and covers_enough(self.route, self.answered()):
-            return partial_answer_at(
-                self.route,
-                received_at=self.request.received_at,
-                deadline=self.deadline,
-                now=now,
-            )
-        return self.attempt_deadline if self.is_fan_out else self.deadline
+    def end_of_wait(self) -> float:
+        """Return the instant at which the answer leaves, whatever is still missing.
+
+        A fan-out that covers enough leaves in time for the target. One that does not cover enough
+        by then is late anyway and waits for all shards.
+        """
+        if not self.is_fan_out:
+            return self.deadline
+        if not self.missed_target and covers_enough(self.route, self.answered()):
+            return min(self.answer_by, self.attempt_deadline)
+        return self.attempt_deadline
 
     def ranked_pools(self, shard: ShardRun, now: float) -> list[ServerPool]:
         """Return the pools that were not tried, by rising expected time."""
@@ -452,7 +457,7 @@
             if shard.running or shard.ran is not Ran.NOT_RUN:
                 ran = Ran.UNKNOWN
         self.abandon()
-        timed_out = time.monotonic() >= self.end_of_wait(time.monotonic())
+        timed_out = time.monotonic() >= self.end_of_wait()
         return failed_answer(ran=ran, timed_out=timed_out, random=self.tools.random)
 
     def slowest(self) -> list[dict[str, object]]:
