Read the store at once when the seeds refuse, and name a later time while starting

Change: two refused exchanges end the wait for the seeds; a host without a configuration names 0.5 s.

--- a/src/rhubarbway/decisions/forward_answers.py
+++ b/src/rhubarbway/decisions/forward_answers.py
@@ -13,6 +13,9 @@
 # When a refused caller may come back, seconds; spread so that callers do not return together.
 RETRY_AFTER_S = 0.1
 RETRY_SPREAD_S = 0.1
+# The same from a host that has just started, which knows the configuration about half a second
+# later. Callers repeat a request only once or twice.
+STARTING_RETRY_AFTER_S = 0.5
 
 
 def merged_answer(route: Route, replies: Sequence[ReplicaReply]) -> ForwardedAnswer:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -30,8 +30,10 @@
 PAUSE_S = 0.3
 # Hosts that each host follows.
 FOLLOWED = 2
-# A host that starts asks its seeds for this long before it reads the store itself, seconds.
+# A host that starts asks its seeds for this long before it reads the store itself, seconds; less if
+# they refuse.
 START_WAIT_S = 0.7
+START_FAILURES = 2
 MAX_FOLLOWERS = 64
 
 
@@ -40,7 +42,7 @@
 
     __slots__ = (
         "executor",
-        "leaving",
+        "failures",
         "listen",
         "listeners",
         "lock",
@@ -61,6 +63,8 @@
         own = FleetMember(address=listen, zone=zone, incarnation=secrets.token_hex(8), heard_at=now)
         self.view = FleetView(own=own)
         self.started_at = now
+        # Exchanges that failed.
+        self.failures = 0
         self.listeners: list[Callable[[int], None]] = []
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -98,7 +102,8 @@
         """Whether this host reads the store for the others."""
         now = time.monotonic()
         with self.lock:
-            if not self.view.heard_any and self.seeds and now < self.started_at + START_WAIT_S:
+            asking = self.failures < START_FAILURES and now < self.started_at + START_WAIT_S
+            if self.seeds and not self.view.heard_any and asking:
                 return False
             return self.listen in self.view.readers(now=now)
 
@@ -206,6 +211,7 @@
     def note_loss(self, address: str, error: Exception) -> None:
         """Forget a host that does not answer, until it is heard of again."""
         with self.lock:
+            self.failures += 1
             lost = self.view.members.pop(address, None) is not None
         if lost:
             self.log.info("Host lost.", address=address, problem=str(error))
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -10,7 +10,7 @@
 
 from rhubarbway.decisions.arrival_budget import ArrivalBudget
 from rhubarbway.decisions.crash_guard import request_digest
-from rhubarbway.decisions.forward_answers import refusal
+from rhubarbway.decisions.forward_answers import STARTING_RETRY_AFTER_S, refusal
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import ExchangeOutcome, ForwardedAnswer, ForwardedRequest, RoutingTable
 from rhubarbway.services.caller_inbox import CallerInbox
@@ -129,7 +129,11 @@
         """
         current = self.routing.in_force
         if current is None:
-            return refusal("no configuration is known yet", random=self.random)
+            return refusal(
+                "no configuration is known yet",
+                random=self.random,
+                retry_after_s=STARTING_RETRY_AFTER_S,
+            )
         route = current.index.match(request.host, request.path)
         if route is None:
             self.log.info("No route.", request_id=request.request_id, version=current.table.version)
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -42,7 +42,7 @@
 RETRY_FIRST_S = 0.1
 RETRY_LONGEST_S = 1.0
 # How often a host looks whether it has become a reader, seconds.
-ROLE_CHECK_S = 0.3
+ROLE_CHECK_S = 0.1
 
 
 class Changes:
