--- /dev/null
+++ b/src/rhubarbway/platform/tests/test_decoding.py
@@ -0,0 +1,202 @@
+"""Tests of what the adapter makes of good and bad input."""
+
+import h11
+import msgspec
+import pytest
+from returns.result import Failure, Success
+
+from rhubarbway.edge.http_client import Reply
+from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Ran
+from rhubarbway.platform.configuration import routing_table_of
+from rhubarbway.platform.consumers import request_of, response_of
+from rhubarbway.platform.entries import server_of
+from rhubarbway.platform.replicas import reply_of, request_lines
+from rhubarbway.platform.store import EVENTS_DECODER, StoreError, decoded, item_of
+
+ROUTE = {
+    "name": "r",
+    "host": "desk.example",
+    "pathPrefix": "/a/",
+    "routeType": "safe",
+    "timeoutMs": 400,
+    "targetLatencyMs": 91,
+    "service": "board",
+    "maxAttempts": 2,
+}
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 262144,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "slots": 3,
+    "state": "ready",
+    "born": 7,
+}
+
+
+def document(*routes, **changes):
+    return msgspec.json.encode(
+        {"version": 7, "routes": routes, "services": [], "limits": LIMITS} | changes
+    )
+
+
+class TestConfiguration:
+    def test_times_are_seconds_and_unknown_fields_are_ignored(self):
+        table = routing_table_of(document(ROUTE | {"colour": "red"})).unwrap()
+        (route,) = table.routes
+        assert (table.version, route.timeout_s, route.target_s) == (7, 0.4, 0.091)
+        assert (route.idempotent, route.services) == (True, ("board",))
+
+    @pytest.mark.parametrize(
+        ("change", "problem"),
+        [
+            ({"service": None}, "exactly one"),
+            ({"gather": ["a", "b"], "topK": 5}, "exactly one"),
+            ({"service": None, "gather": ["a", "a"], "topK": 5}, "twice"),
+            ({"service": None, "gather": ["a", "b"]}, "topK"),
+            ({"routeType": "later"}, "routeType"),
+            ({"timeoutMs": 0}, "timeoutMs"),
+            ({"maxAttempts": "two"}, "maxAttempts"),
+            (
+                {"service": None, "trafficSplit": [{"service": "a", "weight": 0}]},
+                "no part with a weight",
+            ),
+        ],
+    )
+    def test_findings_name_their_place(self, change, problem):
+        result = routing_table_of(document(ROUTE | change))
+        assert isinstance(result, Failure)
+        assert any(problem in str(finding) for finding in result.failure())
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b"\xff\x00", b"{" * 5000, b'{"version": 1}'])
+    def test_bytes_that_are_no_configuration(self, data):
+        assert isinstance(routing_table_of(data), Failure)
+
+
+class TestEntries:
+    def test_an_entry(self):
+        server = server_of("servers/i-1", msgspec.json.encode(ENTRY)).unwrap()
+        assert (server.id, server.service, server.started_ms) == ("i-1", "desk", 7)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "asleep"},
+            {"state": 5},
+            {"address": "desk.example:80"},
+            {"slots": 0},
+            {"slots": "3"},
+            {"service": ""},
+            {"born": "yesterday"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_server(self, change):
+        data = msgspec.json.encode(ENTRY | change)
+        assert isinstance(server_of("servers/i-1", data), Failure)
+
+    @pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+    def test_a_missing_field(self, field):
+        entry = {key: value for key, value in ENTRY.items() if key != field}
+        assert isinstance(server_of("servers/i-1", msgspec.json.encode(entry)), Failure)
+
+
+class TestStore:
+    def test_a_value_that_is_no_base64_counts_as_empty(self):
+        page = decoded(
+            EVENTS_DECODER, b'{"atRev": 3, "events": [{"key": "a", "value": "*", "revision": 3}]}'
+        )
+        assert item_of(page.events[0]).value == b""
+
+    @pytest.mark.parametrize("body", [b"", b"nothing", b'{"events": []}', b'{"atRev": "x"}'])
+    def test_another_body_is_a_typed_error(self, body):
+        with pytest.raises(StoreError):
+            decoded(EVENTS_DECODER, body)
+
+
+def head(*headers):
+    return h11.Request(
+        method="GET", target="/a/b?c=1", headers=[("Host", "desk.example"), *headers]
+    )
+
+
+class TestConsumers:
+    def test_hop_by_hop_headers_stay_here(self):
+        request = request_of(
+            head(
+                ("X-Request-Id", "q"),
+                ("X-Deadline-Ms", "250"),
+                ("Connection", "X-Hop"),
+                ("X-Hop", "1"),
+                ("Accept", "*/*"),
+            ),
+            b"",
+            received_at=10.0,
+        ).unwrap()
+        assert request.headers == (("accept", "*/*"),)
+        assert (request.target, request.path, request.deadline) == ("/a/b?c=1", "/a/b", 10.25)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            (),
+            (("X-Request-Id", "q" * 300),),
+            (("X-Request-Id", "q"), ("X-Deadline-Ms", "soon")),
+            (("X-Request-Id", "q"), ("X-Deadline-Ms", "-5")),
+        ],
+    )
+    def test_a_request_that_cannot_be_forwarded(self, headers):
+        assert isinstance(request_of(head(*headers), b"", received_at=0.0), Failure)
+
+    def test_a_merged_answer_names_its_parts(self):
+        answer = ForwardedAnswer(status=200, body=b"r" * 16, proofs=("p", "q"), missing=1)
+        response = response_of(answer, request_id="q")
+        assert response.headers["X-Part-Stamps"] == "p, q"
+        assert response.headers["X-Missing-Shards"] == "1"
+
+    def test_a_refusal_names_a_time(self):
+        answer = ForwardedAnswer(status=503, retry_after_s=0.15, detail="later")
+        assert response_of(answer, request_id="q").headers["Retry-After"] == "0.150"
+
+
+class TestReplicas:
+    REQUEST = ForwardedRequest(
+        request_id="q", method="GET", target="/a", host="h", received_at=0.0, deadline=1.0
+    )
+    SERVER = BackendServer(id="i-1", service="desk", address="a:1", zone="z", slots=3)
+
+    def test_a_request_names_the_server_and_the_time_left(self):
+        lines = request_lines(self.REQUEST, self.SERVER, left_s=0.25)
+        assert "X-Expect-Instance: i-1" in lines
+        assert "X-Deadline-Ms: 250" in lines
+
+    def reply(self, status, **headers):
+        pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+        return reply_of(Reply(status=status, body=b"", headers=pairs), self.REQUEST)
+
+    def test_an_answer_to_another_request_is_none(self):
+        assert self.reply(200, X_Request_Id="other", X_Server_Stamp="p") is None
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "ran"),
+        [
+            (503, {"X_Not_Executed": "1"}, Ran.NOT_RUN),
+            (421, {}, Ran.NOT_RUN),
+            (503, {}, Ran.RUN),
+            (504, {}, Ran.RUN),
+            (500, {"X_Server_Stamp": "p"}, Ran.RUN),
+        ],
+    )
+    def test_only_the_replica_says_that_it_has_not_run(self, status, headers, ran):
+        assert self.reply(status, **headers).ran is ran
+
+    def test_a_success_needs_its_proof(self):
+        assert self.reply(200).succeeded is False
+        assert self.reply(200, X_Server_Stamp="p").succeeded is True
+
+    def test_types_of_results(self):
+        assert isinstance(server_of("servers/i-1", msgspec.json.encode(ENTRY)), Success)
