--- a/src/rhubarbway/decisions/attempt_timing.py
+++ b/src/rhubarbway/decisions/attempt_timing.py
@@ -5,11 +5,13 @@
 from rhubarbway.model import Route
 
 # Share of replies of a kind that come before a second attempt is sent.
-SECOND_ATTEMPT_QUANTILE = 0.9
+SECOND_ATTEMPT_QUANTILE = 0.95
 # Bounds of that instant, as shares of the target latency: no earlier, since the first attempt most
 # likely answers; no later, since the second one must still answer within the target.
 EARLIEST_SHARE = 0.12
 LATEST_SHARE = 0.45
+# Usual times that a second attempt needs, so that it most likely answers within the target.
+NEEDED_FACTOR = 3.0
 # Usual times after which the second attempt is sent before a quantile is known.
 UNKNOWN_FACTOR = 2.0
 # An answer leaves this long before the target, seconds: it travels to the caller and the caller
@@ -36,7 +38,9 @@
     """
     wanted = quantile_s if quantile_s is not None else UNKNOWN_FACTOR * usual_s
     earliest = EARLIEST_SHARE * route.target_s
-    return min(max(wanted, earliest), LATEST_SHARE * route.target_s)
+    in_time = route.target_s - TARGET_MARGIN_S - NEEDED_FACTOR * usual_s
+    latest = max(earliest, min(LATEST_SHARE * route.target_s, in_time))
+    return min(max(wanted, earliest), latest)
 
 
 def full_value_until(route: Route, *, received_at: float) -> float:
