Find a silent store or host by TCP probes

Change: TCP probes after 1 s of silence on connections to the store and between hosts; they are no calls.

--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -25,6 +25,16 @@
 JSON_HEADERS = ("Content-Type: application/json",)
 
 
+# An idle peer that does not acknowledge is given up after about 3 s: probes after 1 s of silence.
+PROBE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
+
+
 class Reply:
     """Status code, header lines and body of a response."""
 
@@ -98,7 +108,15 @@
 
 
 class HttpConnection:
-    """One connection to one server, used by one task; ``abort`` may be called by any thread."""
+    """One connection to one server, used by one task; ``abort`` may be called by any thread.
+
+    Parameters
+    ----------
+    address : str
+        ``HOST:PORT``.
+    probes : bool
+        Whether TCP probes find a peer that fell silent while a call waits long for its reply.
+    """
 
     __slots__ = (
         "aborted_call",
@@ -108,12 +126,14 @@
         "header_lines",
         "lock",
         "may_open",
+        "probes",
         "sink",
         "sock",
     )
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, probes: bool = False) -> None:
         self.address = address
+        self.probes = probes
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
         self.may_open = True
@@ -140,6 +160,8 @@
                 return pycurl.SOCKET_BAD
             self.may_open = False
             self.sock = socket.socket(address[0], address[1], address[2])
+            for level, option, value in PROBE_OPTIONS if self.probes else ():
+                self.sock.setsockopt(level, option, value)
             return self.sock
 
     def close_socket(self, descriptor: int) -> int:
--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -82,7 +82,7 @@
     __slots__ = ("connection",)
 
     def __init__(self, *, address: str) -> None:
-        self.connection = HttpConnection(address=address)
+        self.connection = HttpConnection(address=address, probes=True)
 
     def list(self, prefix: str, *, after: str = "") -> StorePage:
         """Return one page of the items below a prefix.
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -138,7 +138,7 @@
                 if connection is not None:
                     connection.disconnect()
                     connection.close()
-                connection = HttpConnection(address=address)
+                connection = HttpConnection(address=address, probes=True)
                 source, after = "", 0
             try:
                 reply = self.exchange(connection, source=source, after=after)
