Run gateways as processes in the demo and in tests; take an empty chunked response for a whole one

Cause: a gateway that was asked for readiness by the product's own client never seemed ready: an empty chunked response was taken for a head that ended early. Change: a chunked body has an end of its own. The demo and new tests start gateways as processes: stop, kill, reload, faulty settings.

--- /dev/null
+++ b/proofs/test_gateway_processes.py
@@ -0,0 +1,104 @@
+"""Gateways as separate processes: graceful stop, kill, faulty settings."""
+
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from proofs.gateway_fleet import wait_until
+from rhubarbway.gateway import SETTINGS_VARIABLE
+from rhubarbway_standins.platform.consumer import asked, asked_once
+from rhubarbway_standins.platform.gateways import GatewayProcesses
+from rhubarbway_standins.platform.site import BOARD, HOST, SEARCH, SINGLE, Site
+from rhubarbway_standins.processes import SOURCE_DIR, free_ports
+
+
+@pytest.fixture
+def gateways(tmp_path):
+    site = Site(ports=free_ports())
+    with site, GatewayProcesses(site=site, directory=tmp_path, count=2) as started:
+        yield started
+
+
+class TestStop:
+    def test_requests_in_flight_are_answered_and_the_process_ends_in_time(self, gateways):
+        """Guards against a stop that cuts requests which a replica is working on."""
+        for replica in gateways.site.replicas_of(BOARD):
+            replica.slow_s = 0.8
+        replies = []
+
+        def ask(number):
+            replies.append(
+                asked_once(
+                    gateways.addresses[0],
+                    host=HOST,
+                    target=f"{SINGLE}{number:x}",
+                    deadline_ms=3000,
+                )
+            )
+
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(4)]
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: len(gateways.site.arrivals) >= 4)
+        began = time.monotonic()
+        gateways.processes[0].send(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        assert [reply.status for reply in replies] == [200] * 4
+        assert gateways.processes[0].process.wait(timeout=5) == 0
+        assert time.monotonic() - began < gateways.settings[0].grace_s
+
+    def test_a_host_that_stops_reports_not_ready_and_still_answers(self, gateways):
+        gateways.processes[0].send(signal.SIGTERM)
+        time.sleep(0.1)
+        ready = asked_once(gateways.settings[0].ready_listen, host="lb", target="/v1/ready")
+        reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}1")
+        assert (ready.status, reply.status) == (503, 200)
+        assert reply.headers["connection"] == "close"
+
+    def test_a_reload_disturbs_no_request(self, gateways):
+        for number in range(10):
+            gateways.processes[0].send(signal.SIGHUP)
+            reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}{number:x}")
+            assert reply.status == 200
+
+
+class TestKill:
+    def test_callers_are_served_by_the_other_host_and_the_killed_one_comes_back(self, gateways):
+        gateways.processes[0].kill()
+        for number in range(5):
+            reply = asked(gateways.addresses, host=HOST, target=f"{SEARCH}{number:x}")
+            assert reply.status == 200
+        gateways.processes[0].start()
+        gateways.wait_ready(0)
+        reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}9")
+        assert reply.status == 200
+
+
+class TestSettings:
+    @pytest.mark.parametrize(
+        ("text", "problem"),
+        [
+            ("{", "not JSON with comments"),
+            ("[]", "not of type"),
+            ('{"name": "a", "zone": 3}', "$.zone"),
+            ('{"name": "a", "colour": "red"}', "colour"),
+        ],
+    )
+    def test_faulty_settings_end_the_process_with_their_findings(self, tmp_path, text, problem):
+        path = tmp_path / "settings.json"
+        path.write_text(text)
+        ended = subprocess.run(
+            [sys.executable, "-m", "rhubarbway.gateway"],
+            env={SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(SOURCE_DIR)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+        assert ended.returncode == 1
+        assert problem in ended.stderr
--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -287,14 +287,16 @@
             headers=tuple(header_pairs(self.header_lines)),
         )
         if not reply.body and reply.status not in BODYLESS_STATUSES and method != "HEAD":
-            self.check_length()
+            self.check_length(reply)
         return reply
 
-    def check_length(self) -> None:
+    def check_length(self, reply: Reply) -> None:
         """Raise ``CallError`` for an empty response without a length.
 
-        libcurl takes a head that ends early for a whole one.
+        libcurl takes a head that ends early for a whole one. A chunked body has an end of its own.
         """
+        if any(name.lower() == "transfer-encoding" for name, _ in reply.headers):
+            return
         if self.curl.getinfo(pycurl.CONTENT_LENGTH_DOWNLOAD_T) < 0:
             self.disconnect()
             raise CallError("incomplete head", sent=True, connecting=False, timed_out=False)
--- a/src/rhubarbway/edge/tests/test_http_client.py
+++ b/src/rhubarbway/edge/tests/test_http_client.py
@@ -201,3 +201,20 @@
     while not condition():
         assert time.monotonic() < end
         time.sleep(0.005)
+
+
+class TestEmptyResponse:
+    def test_a_chunked_response_without_a_body_is_whole(self):
+        """Guards against an empty chunked response that is taken for a head which ended early."""
+        server = HttpServer(
+            address=("127.0.0.1", next(PORTS)),
+            app=lambda request: Response(status=503),
+            error_app=lambda status, detail: Response(detail, status=status),
+            max_connections=4,
+            name="empty",
+        )
+        server.start()
+        client = HttpConnection(address="{}:{}".format(*server.address))
+        assert client.call("GET", "/", None, timeout_s=TIMEOUT_S).status == 503
+        client.close()
+        server.stop(grace_s=0.1)
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -144,7 +144,8 @@
 
     def respond_ready(self, request: Request) -> Response:
         """Answer the load balancer's question."""
-        return Response(status=200 if self.is_ready() else 503)
+        ready = self.is_ready()
+        return Response("ready" if ready else "not ready", status=200 if ready else 503)
 
     def respond(self, request: Request) -> Response:
         """Return the answer to a caller's request."""
--- a/src/rhubarbway_standins/demo.py
+++ b/src/rhubarbway_standins/demo.py
@@ -1,4 +1,4 @@
-"""A short run of both deployments on loopback: ``make demo``."""
+"""A short run of both deployments, and of the users' platform, on loopback: ``make demo``."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from rhubarbway.client import CallerConnection, LoadPlan, QueryReply, load_report, reply_summary
 from rhubarbway_standins.backend import ReplicaSpec
 from rhubarbway_standins.deployments import DEPLOYMENTS, GeneratedDeployment, generated
+from rhubarbway_standins.platform.demo import show_platform
 from rhubarbway_standins.processes import Fleet, call_json
 
 ENTRY_HOSTS_STARTED = 3
@@ -93,6 +94,8 @@
     for name in DEPLOYMENTS:
         with tempfile.TemporaryDirectory(prefix="rhubarbway-") as directory:
             failed += show_deployment(name, Path(directory))
+    with tempfile.TemporaryDirectory(prefix="rhubarbway-") as directory:
+        failed += show_platform(Path(directory))
     print(f"\nqueries without an answer: {failed}")
     sys.exit(1 if failed else 0)
 
