Follow hosts that reach the store first, and let three hosts read it

A substitute read the new configuration at 10.5 s, but all hosts followed the blind readers, which kept the first ranks, and handled requests by the old version until 14.1 s.

Change: readers that do not reach the store come after their substitutes; three readers in place of two.

--- a/src/rhubarbway/decisions/fleet_view.py
+++ b/src/rhubarbway/decisions/fleet_view.py
@@ -12,8 +12,9 @@
 from rhubarbway.decisions.rendezvous import ranked_hosts
 from rhubarbway.model import EntryHost
 
-# Hosts that read the store for all, when all of them reach it.
-STORE_READERS = 2
+# Hosts that read the store for all, when all of them reach it. The store may fall silent for some
+# of them at the same time, which they notice only when their watch ends.
+STORE_READERS = 3
 # A host that was not heard of for this time is taken as gone, seconds. Followers ask each second
 # and hear of the other hosts each two seconds.
 FORGET_AFTER_S = 6.0
@@ -121,10 +122,11 @@
         """Return the addresses of up to two hosts that this host follows.
 
         The readers follow each other. The other hosts form a tree below them, by rank, with two
-        parents for each.
+        parents for each. Readers that do not reach the store come after their substitutes.
         """
         staying = [member for member in self.alive(now=now) if not member.leaving]
-        readers = self.readers(now=now)
+        blind = {member.address for member in staying if member.blind}
+        readers = sorted(self.readers(now=now), key=lambda name: name in blind)
         ranked = [host.name for host in ranked_hosts(hosts_of(staying), purpose="followed")]
         order = readers + [name for name in ranked if name not in readers]
         own = self.own.address
