Remember deletions of unknown keys, test the decisions by their properties, split the forwarding modules

Cause: a deletion that came before the older write of its key was forgotten, and the write then brought the key back (found by test_any_order_and_repetition_give_the_same_copy). Change: such deletions are remembered. Test: the property fails without the change.

--- a/src/rhubarbway/decisions/store_view.py
+++ b/src/rhubarbway/decisions/store_view.py
@@ -78,12 +78,13 @@
         else:
             is_news = item.value is not None and item.revision > self.deletions.get(item.key, 0)
         if not is_news:
+            if known is None and item.value is None:
+                # An older statement about the key may still come from a host that lags.
+                self.remember_deletion(item)
             return False
         if item.value is None:
             del self.items[item.key]
-            self.deletions[item.key] = item.revision
-            if len(self.deletions) > DELETIONS_LIMIT:
-                self.deletions.popitem(last=False)
+            self.remember_deletion(item)
         else:
             self.items[item.key] = item
             self.deletions.pop(item.key, None)
@@ -91,6 +92,13 @@
         self.log.append((self.sequence, item))
         return True
 
+    def remember_deletion(self, item: StoreItem) -> None:
+        """Keep the revision of a deletion, which outdates older statements about its key."""
+        self.deletions[item.key] = max(item.revision, self.deletions.get(item.key, 0))
+        self.deletions.move_to_end(item.key)
+        if len(self.deletions) > DELETIONS_LIMIT:
+            self.deletions.popitem(last=False)
+
     def since(self, sequence: int) -> list[StoreItem] | None:
         """Return the changes after a number, or None if some of them are forgotten."""
         if sequence > self.sequence:
--- /dev/null
+++ b/src/rhubarbway/decisions/tests/test_arrival_budget.py
@@ -0,0 +1,54 @@
+"""Properties of the budget of further attempts, over any number of hosts that do not talk."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+
+RATIO = 0.2
+ALLOWANCE = 58.0
+WINDOW_S = 10.0
+
+# Instant in tenths of a second, host, and whether it is a request or a wish for a further attempt.
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 400), st.integers(0, 4), st.booleans()), min_size=1, max_size=400
+)
+
+
+class TestArrivalBudget:
+    @settings(max_examples=60, deadline=None)
+    @given(events=EVENTS, hosts=st.integers(5, 12))
+    def test_no_window_holds_more_than_the_limit(self, events, hosts):
+        """Guards against a service that gets more further attempts than all hosts may send."""
+        budgets = [
+            ArrivalBudget(ratio=RATIO, allowance=ALLOWANCE, window_s=WINDOW_S) for _ in range(5)
+        ]
+        for budget in budgets:
+            budget.hosts = hosts
+        requests, extras = [], []
+        for tenth, host, is_request in sorted(events):
+            now = tenth / 10
+            if is_request:
+                budgets[host].note_request("desk", now=now)
+                requests.append(now)
+            elif budgets[host].take("desk", now=now):
+                extras.append(now)
+        for end in extras:
+            sent = sum(end - WINDOW_S < at <= end for at in extras)
+            # Each host counts the requests of the window up to its own last attempt.
+            asked = sum(end - 2 * WINDOW_S < at <= end for at in requests)
+            assert sent <= RATIO * asked + ALLOWANCE
+
+    def test_without_requests_the_allowance_is_shared(self):
+        taken = 0
+        for _ in range(9):
+            budget = ArrivalBudget(ratio=RATIO, allowance=ALLOWANCE, window_s=WINDOW_S)
+            budget.hosts = 9
+            taken += sum(budget.take("desk", now=1.0) for _ in range(100))
+        assert 0 < taken <= ALLOWANCE
+
+    def test_a_reserve_is_left_for_failures(self):
+        budget = ArrivalBudget(ratio=0.0, allowance=10.0, window_s=WINDOW_S)
+        while budget.take("desk", now=1.0, reserve=2.0):
+            pass
+        assert budget.take("desk", now=1.0)
--- /dev/null
+++ b/src/rhubarbway/decisions/tests/test_server_state.py
@@ -0,0 +1,77 @@
+"""Tests of what a host learns about a server, and how it ranks servers."""
+
+from rhubarbway.decisions.server_state import EJECT_FIRST_S, ServerState, ranked_states
+from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome, Ran
+
+USUAL_S = 0.02
+
+
+def state_of(name, *, zone="a", warm_up_s=0.0):
+    server = BackendServer(
+        id=name, service="desk", address="10.0.0.1:1", zone=zone, slots=3, warm_up_s=warm_up_s
+    )
+    return ServerState(server=server, now=0.0)
+
+
+def note(state, end, *, latency=USUAL_S, now=1.0):
+    outcome = ExchangeOutcome(
+        attempt=1, shard="desk", server="s", end=end, ran=Ran.RUN, latency=latency
+    )
+    state.note_outcome(outcome, usual_s=USUAL_S, now=now)
+
+
+def first(*states, now=1.0, avoid=()):
+    ranked = ranked_states(states, zone="a", usual_s=USUAL_S, distance_s=0.01, avoid=avoid, now=now)
+    return ranked[0].server.id
+
+
+class TestRanking:
+    def test_a_server_that_is_slow_gets_no_work_and_is_tried_again_later(self):
+        """Pattern of a heavy day: one replica of a shard takes ten times as long."""
+        slow, near, far = state_of("slow"), state_of("near"), state_of("far", zone="b")
+        for _ in range(5):
+            note(slow, ExchangeEnd.ANSWERED, latency=10 * USUAL_S)
+        assert first(slow, near, far) == "near"
+        assert first(slow, far) == "far"
+        assert first(slow, far, now=20.0) == "slow"
+
+    def test_a_paused_server_is_passed_over_while_its_attempt_hangs(self):
+        """Pattern of a calm day: a replica stands still for 200 ms."""
+        paused, far = state_of("paused"), state_of("far", zone="b")
+        paused.note_sent(1, now=0.9)
+        assert first(paused, far, now=0.91) == "paused"
+        assert first(paused, far, now=1.0) == "far"
+
+    def test_a_cold_server_in_the_zone_comes_after_a_warm_one(self):
+        assert first(state_of("cold", warm_up_s=3.0), state_of("warm")) == "warm"
+        assert first(state_of("cold", warm_up_s=3.0), state_of("warm"), now=5.0) == "cold"
+
+    def test_ejected_servers_come_last_but_are_used_when_nothing_else_is_there(self):
+        failed, far = state_of("failed"), state_of("far", zone="b")
+        note(failed, ExchangeEnd.CONNECT_FAILED)
+        assert first(failed, far) == "far"
+        assert first(failed) == "failed"
+
+
+class TestEjection:
+    def test_one_lost_answer_ejects_nobody(self):
+        state = state_of("s")
+        note(state, ExchangeEnd.LOST)
+        assert not state.ejected(1.0)
+        note(state, ExchangeEnd.LOST)
+        assert state.ejected(1.0)
+
+    def test_the_time_grows_and_an_answer_ends_it(self):
+        state = state_of("s")
+        note(state, ExchangeEnd.CONNECT_FAILED, now=1.0)
+        assert not state.ejected(1.0 + EJECT_FIRST_S)
+        note(state, ExchangeEnd.CONNECT_FAILED, now=2.0)
+        assert state.ejected(2.0 + EJECT_FIRST_S)
+        note(state, ExchangeEnd.ANSWERED, now=2.1)
+        assert not state.ejected(2.1)
+
+    def test_a_refusal_is_no_failure(self):
+        state = state_of("s")
+        for _ in range(5):
+            note(state, ExchangeEnd.REFUSED)
+        assert not state.ejected(1.0)
--- /dev/null
+++ b/src/rhubarbway/decisions/tests/test_store_view.py
@@ -0,0 +1,78 @@
+"""Properties of the copy of the store that hosts pass on to each other."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rhubarbway.decisions.store_view import LOG_LIMIT, StoreView
+from rhubarbway.model import StoreItem
+
+KEYS = ["a", "b", "c"]
+# The store's history: each change has the next revision.
+HISTORIES = st.lists(st.tuples(st.sampled_from(KEYS), st.booleans()), max_size=20)
+
+
+def changes_of(history):
+    return [
+        StoreItem(key=key, value=None if deleted else b"%d" % revision, revision=revision)
+        for revision, (key, deleted) in enumerate(history, start=1)
+    ]
+
+
+def content(view):
+    return {key: item.value for key, item in view.items.items()}
+
+
+def final(history):
+    state = {}
+    for item in changes_of(history):
+        if item.value is None:
+            state.pop(item.key, None)
+        else:
+            state[item.key] = item.value
+    return state
+
+
+class TestStoreView:
+    @settings(max_examples=150, deadline=None)
+    @given(history=HISTORIES, data=st.data())
+    def test_any_order_and_repetition_give_the_same_copy(self, history, data):
+        """Guards against an older change that undoes a newer one, as told by another host."""
+        changes = changes_of(history)
+        told = data.draw(st.permutations(changes + changes[:5]))
+        view = StoreView()
+        for item in told:
+            view.apply([item], revision=0)
+        assert content(view) == final(history)
+
+    @settings(max_examples=150, deadline=None)
+    @given(history=HISTORIES, cut=st.integers(0, 20))
+    def test_a_list_and_the_changes_after_it_give_the_same_copy(self, history, cut):
+        changes = changes_of(history)
+        before = StoreView()
+        before.apply(changes[:cut], revision=cut)
+        view = StoreView()
+        # This host knew some older part.
+        view.apply(changes[: cut // 2], revision=cut // 2)
+        view.replace_all(list(before.items.values()), revision=cut)
+        view.apply(changes[cut:], revision=len(changes))
+        assert content(view) == final(history)
+
+    @settings(max_examples=100, deadline=None)
+    @given(history=HISTORIES, data=st.data())
+    def test_a_follower_that_asks_from_time_to_time_gets_the_same_copy(self, history, data):
+        leader, follower, after = StoreView(), StoreView(), 0
+        for item in changes_of(history):
+            leader.apply([item], revision=item.revision)
+            if data.draw(st.booleans()):
+                follower.apply(leader.since(after), revision=leader.revision)
+                after = leader.sequence
+        follower.apply(leader.since(after), revision=leader.revision)
+        assert content(follower) == content(leader)
+
+    def test_a_follower_that_is_too_far_behind_gets_a_whole_copy(self):
+        view = StoreView()
+        for revision in range(1, LOG_LIMIT + 10):
+            view.apply([StoreItem(key="a", value=b"x", revision=revision)], revision=revision)
+        assert view.since(1) is None
+        assert view.since(view.sequence + 1) is None
+        assert len(view.since(view.sequence - 3)) == 3
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -441,15 +441,3 @@
         elif key != "CONTENT_LENGTH":
             environ["HTTP_" + key] = value.decode("latin-1")
     return environ
-
-
-def address_of(text: str) -> tuple[str, int]:
-    """Return host and port of ``HOST:PORT``.
-
-    Examples
-    --------
-    >>> address_of("10.0.0.1:80")
-    ('10.0.0.1', 80)
-    """
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -12,8 +12,9 @@
 
 from rhubarbway.decisions.fleet_view import FleetMember, FleetView
 from rhubarbway.edge import feed_wire
+from rhubarbway.edge.addresses import address_of
 from rhubarbway.edge.http_client import CallError, HttpConnection
-from rhubarbway.edge.http_server import HttpServer, address_of
+from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
-from random import Random
 
-from rhubarbway.decisions.arrival_budget import ArrivalBudget
 from rhubarbway.decisions.attempt_timing import (
     covers_enough,
     full_value_until,
@@ -26,12 +23,12 @@
     ForwardedAnswer,
     ForwardedRequest,
     Ran,
-    ReplicaReply,
     Route,
 )
 from rhubarbway.services.caller_inbox import CallerInbox
-from rhubarbway.services.losses import LossService
+from rhubarbway.services.forwarding_tools import ForwardingTools
 from rhubarbway.services.server_pool import ServerAttempt, ServerPool
+from rhubarbway.services.shard_run import ShardRun
 
 # Attempts beyond the first that stay reserved for failures, so that slow servers do not use up
 # what lost requests need.
@@ -48,116 +45,6 @@
 SLOWEST_LOGGED = 2
 
 
-class ShardRun:
-    """What one request has done at one service.
-
-    Attributes
-    ----------
-    sent : int
-        Attempts that count against the route's limit.
-    running : dict of int to ServerAttempt
-        Unanswered attempts by number.
-    reply : ReplicaReply or None
-        The reply that the answer uses.
-    failure : ReplicaReply or None
-        The last reply that was no success.
-    second_at : float
-        Instant at which an unanswered first attempt gets a second one.
-    given_up : bool
-        True if nothing is running and nothing more will be sent.
-    """
-
-    __slots__ = (
-        "attempts",
-        "failure",
-        "given_up",
-        "ran",
-        "replied_at",
-        "reply",
-        "running",
-        "second_at",
-        "sent",
-        "service",
-        "tried",
-    )
-
-    def __init__(self, *, service: str) -> None:
-        self.service = service
-        self.tried: set[str] = set()
-        self.running: dict[int, ServerAttempt] = {}
-        self.sent = 0
-        # Server and instant of each attempt, for the log.
-        self.attempts: list[tuple[str, float]] = []
-        self.replied_at = float("inf")
-        self.reply: ReplicaReply | None = None
-        self.failure: ReplicaReply | None = None
-        self.second_at = float("inf")
-        self.given_up = False
-        self.ran = Ran.NOT_RUN
-
-    @property
-    def is_open(self) -> bool:
-        """Whether a reply may still come."""
-        return self.reply is None and not self.given_up
-
-
-class ForwardingTools:
-    """What all running requests of a host share.
-
-    Attributes
-    ----------
-    pools_of : callable
-        Returns the pools of a service.
-    zone : str
-        Zone of this host.
-    budget : ArrivalBudget
-        Limit of attempts beyond the first.
-    next_number : callable
-        Returns a fresh number of an attempt.
-    second_attempt_delay, usual_s : callable
-        Learnt times of a route, seconds.
-    losses : LossService
-        Requests that end their servers.
-    log : logger
-        Takes one line for each decision.
-    """
-
-    __slots__ = (
-        "budget",
-        "log",
-        "losses",
-        "next_number",
-        "pools_of",
-        "random",
-        "second_attempt_delay",
-        "usual_s",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        *,
-        pools_of: Callable[[str], list[ServerPool]],
-        zone: str,
-        budget: ArrivalBudget,
-        next_number: Callable[[], int],
-        second_attempt_delay: Callable[[Route], float],
-        usual_s: Callable[[Route], float],
-        losses: LossService,
-        random: Random,
-        log,
-    ) -> None:
-        self.losses = losses
-        self.pools_of = pools_of
-        self.zone = zone
-        self.budget = budget
-        self.next_number = next_number
-        self.second_attempt_delay = second_attempt_delay
-        self.usual_s = usual_s
-        self.random = random
-        self.log = log
-
-
 class ForwardRun:
     """State of one running request.
 
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -4,7 +4,6 @@
 
 import itertools
 import socket
-import threading
 import time
 from random import Random
 
@@ -14,7 +13,8 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import ExchangeOutcome, ForwardedAnswer, ForwardedRequest, RoutingTable
 from rhubarbway.services.caller_inbox import CallerInbox
-from rhubarbway.services.forward_run import ForwardingTools, ForwardRun
+from rhubarbway.services.forward_run import ForwardRun
+from rhubarbway.services.forwarding_tools import ForwardingTools, LockedBudget
 from rhubarbway.services.kind_times import KindTimesByRoute
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
@@ -25,31 +25,6 @@
 from rhubarbway.services.servers import ServerService
 
 
-class LockedBudget:
-    """An ``ArrivalBudget`` that several tasks use."""
-
-    __slots__ = ("budget", "lock")
-
-    def __init__(self, *, budget: ArrivalBudget) -> None:
-        self.budget = budget
-        self.lock = threading.Lock()
-
-    def note_request(self, service: str, *, now: float) -> None:
-        """Count a request whose first attempt goes to the service."""
-        with self.lock:
-            self.budget.note_request(service, now=now)
-
-    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
-        """Count an extra attempt and return True, if the window still allows it."""
-        with self.lock:
-            return self.budget.take(service, now=now, reserve=reserve)
-
-    def set_hosts(self, hosts: int) -> None:
-        """Set the number of entry hosts that share the allowance."""
-        with self.lock:
-            self.budget.hosts = hosts
-
-
 class ForwardingService:
     """Finds the route of a request and runs it."""
 
--- /dev/null
+++ b/src/rhubarbway/services/forwarding_tools.py
@@ -0,0 +1,94 @@
+"""What all running requests of a host share."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.model import Route
+from rhubarbway.services.losses import LossService
+from rhubarbway.services.server_pool import ServerPool
+
+
+class LockedBudget:
+    """An ``ArrivalBudget`` that several tasks use."""
+
+    __slots__ = ("budget", "lock")
+
+    def __init__(self, *, budget: ArrivalBudget) -> None:
+        self.budget = budget
+        self.lock = threading.Lock()
+
+    def note_request(self, service: str, *, now: float) -> None:
+        """Count a request whose first attempt goes to the service."""
+        with self.lock:
+            self.budget.note_request(service, now=now)
+
+    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
+        """Count an extra attempt and return True, if the window still allows it."""
+        with self.lock:
+            return self.budget.take(service, now=now, reserve=reserve)
+
+    def set_hosts(self, hosts: int) -> None:
+        """Set the number of entry hosts that share the allowance."""
+        with self.lock:
+            self.budget.hosts = hosts
+
+
+class ForwardingTools:
+    """What all running requests of a host share.
+
+    Attributes
+    ----------
+    pools_of : callable
+        Returns the pools of a service.
+    zone : str
+        Zone of this host.
+    budget : LockedBudget
+        Limit of attempts beyond the first.
+    next_number : callable
+        Returns a fresh number of an attempt.
+    second_attempt_delay, usual_s : callable
+        Learnt times of a route, seconds.
+    losses : LossService
+        Requests that end their servers.
+    log : logger
+        Takes one line for each decision.
+    """
+
+    __slots__ = (
+        "budget",
+        "log",
+        "losses",
+        "next_number",
+        "pools_of",
+        "random",
+        "second_attempt_delay",
+        "usual_s",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        pools_of: Callable[[str], list[ServerPool]],
+        zone: str,
+        budget: LockedBudget,
+        next_number: Callable[[], int],
+        second_attempt_delay: Callable[[Route], float],
+        usual_s: Callable[[Route], float],
+        losses: LossService,
+        random: Random,
+        log,
+    ) -> None:
+        self.losses = losses
+        self.pools_of = pools_of
+        self.zone = zone
+        self.budget = budget
+        self.next_number = next_number
+        self.second_attempt_delay = second_attempt_delay
+        self.usual_s = usual_s
+        self.random = random
+        self.log = log
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -10,7 +10,8 @@
 from returns.result import Result, Success
 from werkzeug.wrappers import Request, Response
 
-from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer, address_of
+from rhubarbway.edge.addresses import address_of
+from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits, ForwardedAnswer, ForwardedRequest
 from rhubarbway.services.fleet import FleetService
--- a/src/rhubarbway/services/metrics_endpoint.py
+++ b/src/rhubarbway/services/metrics_endpoint.py
@@ -6,7 +6,8 @@
 
 from werkzeug.wrappers import Request, Response
 
-from rhubarbway.edge.http_server import HttpServer, address_of
+from rhubarbway.edge.addresses import address_of
+from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.metrics import MetricsService
--- a/src/rhubarbway/services/tests/test_forward_run.py
+++ b/src/rhubarbway/services/tests/test_forward_run.py
@@ -18,8 +18,8 @@
     SplitPart,
 )
 from rhubarbway.services.caller_inbox import CallerInbox
-from rhubarbway.services.forward_run import ForwardingTools, ForwardRun
-from rhubarbway.services.forwarding import LockedBudget
+from rhubarbway.services.forward_run import ForwardRun
+from rhubarbway.services.forwarding_tools import ForwardingTools, LockedBudget
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
 
