--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -11,7 +11,7 @@
 from proofs.gateway_fleet import GatewayFleet, wait_until
 from rhubarbway.decisions.fleet_view import STORE_READERS
 from rhubarbway.services import registry
-from rhubarbway.services.names import REGISTRY, SERVERS
+from rhubarbway.services.names import FORWARDING, REGISTRY, SERVERS
 from rhubarbway_standins.platform.consumer import asked, asked_once, merged_answer_problem
 from rhubarbway_standins.platform.site import BOARD, BOOKING, HOST, SEARCH, SINGLE
 from rhubarbway_standins.platform.store import StoreMode
@@ -287,6 +287,12 @@
             # Each reader has two watches, and one that was waiting at either end.
             assert fleet.site.store.calls - before <= 3 * STORE_READERS
 
+    def test_each_host_takes_its_part_of_the_retry_allowance(self):
+        """First score of sn, BUDGET: hosts that did not count each other each used all of it."""
+        with GatewayFleet(hosts=3) as fleet:
+            budgets = [kernel.find(FORWARDING).budget.budget for kernel in fleet.kernels]
+            wait_until(lambda: [budget.hosts for budget in budgets] == [3, 3, 3])
+
     def test_a_version_reaches_hosts_that_the_store_turns_away(self):
         with GatewayFleet(hosts=3) as fleet:
             fleet.site.store.set_mode(StoreMode.REFUSING)
