Give the requests of the graceful stop proof a slot each

Three requests and their second attempts take all six slots of the two replicas for 0.8 s; a fourth one that arrives then waits for 0.8 s and reaches the 1 s limit of its route. Shown by delaying the fourth request by 0.25 s: 200, 200, 200, 504, without any stop. The former wait for four arrivals also counted second attempts, so the signal could come before the fourth request was in flight.

Change: eight slots, and the signal is sent once four different requests run. The check is the same: all four are answered with 200, and the process ends within its grace.

The whole suite did not run yet.

--- a/proofs/test_gateway_processes.py
+++ b/proofs/test_gateway_processes.py
@@ -15,6 +15,9 @@
 from rhubarbway_standins.platform.site import BOARD, HOST, SEARCH, SINGLE, Site
 from rhubarbway_standins.processes import SOURCE_DIR, free_ports
 
+# Requests that are in flight when a host is told to stop.
+REQUESTS = 4
+
 
 @pytest.fixture
 def gateways(tmp_path):
@@ -27,6 +30,9 @@
     def test_requests_in_flight_are_answered_and_the_process_ends_in_time(self, gateways):
         """Guards against a stop that cuts requests which a replica is working on."""
         for replica in gateways.site.replicas_of(BOARD):
+            # With fewer slots, a request that arrives after the second attempts of the others
+            # waits for a slot until the time limit of its route.
+            replica.slots = threading.BoundedSemaphore(2 * REQUESTS)
             replica.slow_s = 0.8
         replies = []
 
@@ -40,15 +46,17 @@
                 )
             )
 
-        threads = [threading.Thread(target=ask, args=(number,)) for number in range(4)]
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(REQUESTS)]
         for thread in threads:
             thread.start()
-        wait_until(lambda: len(gateways.site.arrivals) >= 4)
+        wait_until(
+            lambda: len({found.request_id for found in gateways.site.arrivals}) == REQUESTS
+        )
         began = time.monotonic()
         gateways.processes[0].send(signal.SIGTERM)
         for thread in threads:
             thread.join()
-        assert [reply.status for reply in replies] == [200] * 4
+        assert [reply.status for reply in replies] == [200] * REQUESTS
         assert gateways.processes[0].process.wait(timeout=5) == 0
         assert time.monotonic() - began < gateways.settings[0].grace_s
 
