Wake the task of a fan-out once for all its parts

Each reply woke the caller's task, which then looked at all shards again, so the work grew with the square of their number.

Change: successes wake the task only when all that it waits for are there; any other outcome wakes it at once. Counts of open and answered shards are kept. The client collects header lines without a callback for each.

The task had computed its time limit from the replies that it had seen before it slept, which were none, and slept past the target. It now wakes at the target as well; the new test failed without that.

--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -80,16 +80,20 @@
     return [line for line in (*NO_OWN_HEADERS, "Content-Type:") if line[:-1].lower() not in given]
 
 
-def header_pairs(lines: Sequence[bytes]) -> Iterator[tuple[str, str]]:
-    """Yield name and value of each header line of a response.
+def header_pairs(head: bytes) -> Iterator[tuple[str, str]]:
+    """Yield name and value of each header line of the last response in ``head``.
+
+    Interim responses come before it, trailers after it.
 
     Examples
     --------
-    >>> list(header_pairs([b"Retry-After: 2\\r\\n", b"\\r\\n"]))
-    [('Retry-After', '2')]
+    >>> head = b"HTTP/1.1 100 Continue\\r\\nA: 1\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\nB: 2\\r\\n\\r\\n"
+    >>> list(header_pairs(head))
+    [('B', '2')]
     """
-    for line in lines:
-        name, colon, value = line.decode("latin-1").partition(":")
+    last = head.rfind(b"\nHTTP/") + 1
+    for line in head[last:].decode("latin-1").split("\r\n")[1:]:
+        name, colon, value = line.partition(":")
         if colon:
             yield name.strip(), value.strip()
 
@@ -123,7 +127,7 @@
         "address",
         "call_number",
         "curl",
-        "header_lines",
+        "head",
         "lock",
         "may_open",
         "probes",
@@ -140,7 +144,8 @@
         self.aborted_call = 0
         self.call_number = 0
         self.sink = io.BytesIO()
-        self.header_lines: list[bytes] = []
+        # Status and header lines of the response.
+        self.head = io.BytesIO()
         self.curl = pycurl.Curl()
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -150,8 +155,9 @@
         self.curl.setopt(pycurl.OPENSOCKETFUNCTION, self.open_socket)
         self.curl.setopt(pycurl.CLOSESOCKETFUNCTION, self.close_socket)
         self.curl.setopt(pycurl.WRITEFUNCTION, self.receive)
-        self.curl.setopt(pycurl.HEADERFUNCTION, self.receive_header)
+        self.curl.setopt(pycurl.HEADERFUNCTION, self.head.write)
         self.curl.setopt(pycurl.PATH_AS_IS, 1)
+        self.curl.setopt(pycurl.URL, f"http://{self.address}/")
 
     def open_socket(self, purpose, address):
         """Open the socket that libcurl asks for, or refuse after the request was started."""
@@ -176,13 +182,6 @@
             return 1
         return 0
 
-    def receive_header(self, line: bytes) -> None:
-        """Collect a header line; a status line starts anew, after an interim response."""
-        if line.startswith(b"HTTP/"):
-            self.header_lines = []
-        else:
-            self.header_lines.append(line)
-
     def receive(self, data: bytes) -> int | None:
         """Collect response bytes up to the limit; a short count makes libcurl stop."""
         if self.sink.tell() + len(data) > REPLY_LIMIT_BYTES:
@@ -269,8 +268,8 @@
             if self.aborted_call == self.call_number:
                 raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
         self.sink = io.BytesIO()
-        self.header_lines = []
-        curl.setopt(pycurl.URL, f"http://{self.address}/")
+        self.head.seek(0)
+        self.head.truncate()
         curl.setopt(pycurl.REQUEST_TARGET, target)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         connect_s = timeout_s if connect_timeout_s is None else min(connect_timeout_s, timeout_s)
@@ -284,7 +283,7 @@
         reply = Reply(
             status=curl.getinfo(pycurl.RESPONSE_CODE),
             body=self.sink.getvalue(),
-            headers=tuple(header_pairs(self.header_lines)),
+            headers=tuple(header_pairs(self.head.getvalue())),
         )
         if not reply.body and reply.status not in BODYLESS_STATUSES and method != "HEAD":
             self.check_length(reply)
--- a/src/rhubarbway/model/forwarding.py
+++ b/src/rhubarbway/model/forwarding.py
@@ -137,6 +137,11 @@
         self.reply = reply
         self.detail = detail
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the attempt brought a success with its proof."""
+        return self.end is ExchangeEnd.ANSWERED and self.reply is not None and self.reply.succeeded
+
 
 class ForwardedAnswer:
     """The answer to a caller.
--- a/src/rhubarbway/platform/headers.py
+++ b/src/rhubarbway/platform/headers.py
@@ -40,6 +40,8 @@
     EXPECTED_SERVER.lower(),
 }
 
+NO_OPTIONS: frozenset[str] = frozenset()
+
 
 def connection_options(headers: Mapping[str, str]) -> frozenset[str]:
     """Return the header names that ``Connection`` declares as hop-by-hop.
@@ -49,7 +51,10 @@
     >>> sorted(connection_options({"connection": "close, X-Hop"}))
     ['close', 'x-hop']
     """
-    names = headers.get("connection", "").split(",")
+    stated = headers.get("connection")
+    if stated is None:
+        return NO_OPTIONS
+    names = stated.split(",")
     return frozenset(name.strip().lower() for name in names if name.strip())
 
 
--- a/src/rhubarbway/services/caller_inbox.py
+++ b/src/rhubarbway/services/caller_inbox.py
@@ -14,19 +14,26 @@
 class CallerInbox:
     """Outcomes for one request; the wait ends early when the caller closes its connection.
 
+    A wake-up costs about as much as the rest of an attempt, and a fan-out can do nothing with its
+    first replies but keep them. Successes therefore wake the task only once enough of them have
+    arrived; any other outcome wakes it at once.
+
     Parameters
     ----------
     sock : socket.socket or None
         The caller's connection; None for requests without one.
     """
 
-    __slots__ = ("caller_left", "event", "outcomes", "poll", "sock")
+    __slots__ = ("caller_left", "event", "outcomes", "poll", "sock", "urgent", "wanted")
 
     def __init__(self, *, sock: socket.socket | None) -> None:
         self.sock = sock
         self.outcomes: deque[ExchangeOutcome] = deque()
         self.event: int | None = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.caller_left = False
+        # Successes that wake the task, and whether something else has arrived.
+        self.wanted = 1
+        self.urgent = False
         self.poll = select.poll()
         self.poll.register(self.event, select.POLLIN)
         if sock is not None:
@@ -35,20 +42,32 @@
     def put(self, outcome: ExchangeOutcome) -> None:
         """Add an outcome; called by connection tasks, also after the request has ended."""
         self.outcomes.append(outcome)
+        self.urgent = self.urgent or not outcome.succeeded
         event = self.event
-        if event is not None:
+        if event is not None and (self.urgent or len(self.outcomes) >= self.wanted):
             try:
                 os.eventfd_write(event, 1)
             except OSError:
                 # Closed since the check: the request has ended and nobody waits.
                 return
 
-    def take(self, timeout_s: float) -> list[ExchangeOutcome]:
-        """Wait for outcomes, the end of the caller or the time limit; return the outcomes."""
-        if not self.outcomes and timeout_s > 0.0:
+    def take(self, timeout_s: float, *, wanted: int = 1) -> list[ExchangeOutcome]:
+        """Wait for outcomes, the end of the caller or the time limit; return the outcomes.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit of the wait, seconds.
+        wanted : int
+            Successes that end the wait.
+        """
+        # Set before the look at the outcomes: a task that adds one looks after it has added it.
+        self.wanted = wanted
+        if not self.urgent and len(self.outcomes) < wanted and timeout_s > 0.0:
             for descriptor, _ in self.poll.poll(timeout_s * 1000):
                 if descriptor != self.event:
                     self.look_at_caller()
+        self.urgent = False
         taken = []
         while self.outcomes:
             taken.append(self.outcomes.popleft())
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 from rhubarbway.decisions.attempt_timing import (
     covers_enough,
     full_value_until,
@@ -72,8 +70,11 @@
         "inbox",
         "is_fan_out",
         "missed_target",
+        "open_count",
+        "replied_count",
         "request",
         "route",
+        "second_at",
         "second_delay_s",
         "shards",
         "tools",
@@ -98,6 +99,11 @@
         self.is_fan_out = bool(route.shards)
         self.deadline = min(request.deadline, request.received_at + route.timeout_s)
         self.shards = {service: ShardRun(service=service) for service in services}
+        # Shards from which a reply may still come, and those that have replied.
+        self.open_count = len(self.shards)
+        self.replied_count = 0
+        # Earliest instant at which some shard may need a second attempt.
+        self.second_at = float("inf")
         self.usual_s = tools.usual_s(route)
         self.second_delay_s = tools.second_attempt_delay(route)
         received_at = request.received_at
@@ -118,19 +124,19 @@
             return refusal("too few servers are known", random=self.tools.random)
         self.send_first_attempts()
         while not self.is_finished():
-            now = time.monotonic()
+            now = self.tools.clock()
             if now >= self.end_of_wait():
                 break
             if now >= self.answer_by:
                 self.missed_target = True
-            end = self.end_of_wait()
-            second_at = min((shard.second_at for shard in self.open_shards()), default=end)
-            for outcome in self.inbox.take(min(end, second_at) - now):
+            for outcome in self.inbox.take(self.wake_at() - now, wanted=self.open_count):
                 self.take(outcome)
             if self.inbox.caller_left:
                 self.abandon()
                 return None
-            self.send_second_attempts(time.monotonic())
+            now = self.tools.clock()
+            if now >= self.second_at:
+                self.send_second_attempts(now)
         return self.answer()
 
     def open_shards(self) -> list[ShardRun]:
@@ -139,18 +145,17 @@
 
     def is_finished(self) -> bool:
         """Whether no further reply can change the answer."""
-        open_count = 0
-        answered = 0
-        for shard in self.shards.values():
-            open_count += shard.is_open
-            answered += shard.reply is not None
-        if open_count == 0:
+        if self.open_count == 0:
             return True
-        return self.is_fan_out and not covers_enough(self.route, answered + open_count)
+        return self.is_fan_out and not covers_enough(
+            self.route, self.replied_count + self.open_count
+        )
 
-    def answered(self) -> int:
-        """Return the number of shards with a reply."""
-        return sum(shard.reply is not None for shard in self.shards.values())
+    def give_up(self, shard: ShardRun) -> None:
+        """Record that no reply of a shard will come."""
+        if shard.is_open:
+            shard.given_up = True
+            self.open_count -= 1
 
     def end_of_wait(self) -> float:
         """Return the instant at which the answer leaves, whatever is still missing.
@@ -160,10 +165,19 @@
         """
         if not self.is_fan_out:
             return self.deadline
-        if not self.missed_target and covers_enough(self.route, self.answered()):
+        if not self.missed_target and covers_enough(self.route, self.replied_count):
             return min(self.answer_by, self.attempt_deadline)
         return self.attempt_deadline
 
+    def wake_at(self) -> float:
+        """Return the instant at which there is something to decide without a further reply.
+
+        Replies that arrive meanwhile wake nobody, so whether the answer covers enough at the target
+        is only known then.
+        """
+        at = min(self.end_of_wait(), self.second_at)
+        return min(at, self.answer_by) if self.is_fan_out and not self.missed_target else at
+
     def ranked_pools(self, shard: ShardRun, now: float) -> list[ServerPool]:
         """Return the pools that were not tried, by rising expected time."""
         pools = {
@@ -189,7 +203,7 @@
 
     def send_first_attempts(self) -> None:
         """Send to all shards but those that are left out because they are overloaded."""
-        now = time.monotonic()
+        now = self.tools.clock()
         chosen = {
             shard.service: next(iter(self.ranked_pools(shard, now)), None)
             for shard in self.shards.values()
@@ -207,12 +221,12 @@
             self.tools.budget.note_request(shard.service, now=now)
             pool = chosen[shard.service]
             if pool is None or shard.service in skipped:
-                shard.given_up = True
+                self.give_up(shard)
                 self.note("Shard left out: overloaded." if pool else "No server is known.", shard)
                 continue
             self.send(shard, pool)
             if self.route.idempotent and self.route.max_attempts > 1:
-                shard.second_at = now + self.second_delay_s
+                shard.second_at = self.second_at = now + self.second_delay_s
 
     def send(self, shard: ShardRun, pool: ServerPool) -> None:
         """Hand one attempt to a pool."""
@@ -222,6 +236,7 @@
             shard=shard.service,
             kind=self.route.name,
             deadline=self.attempt_deadline,
+            handed_at=self.tools.clock(),
             usual_s=self.usual_s,
             deliver=self.inbox.put,
         )
@@ -233,7 +248,11 @@
 
     def send_second_attempts(self, now: float) -> None:
         """Send a second attempt for each shard whose first one is late."""
-        for shard in self.open_shards():
+        waiting = [shard for shard in self.open_shards() if shard.second_at < float("inf")]
+        self.second_at = min(
+            (shard.second_at for shard in waiting if shard.second_at > now), default=float("inf")
+        )
+        for shard in waiting:
             if now < shard.second_at:
                 continue
             shard.second_at = float("inf")
@@ -255,7 +274,7 @@
         """
         if shard.sent >= self.route.max_attempts or self.tools.losses.is_suspect(self.digest):
             return False
-        now = time.monotonic()
+        now = self.tools.clock()
         pool = next(iter(self.ranked_pools(shard, now)), None)
         if pool is None or now >= self.attempt_deadline or pool.state.ejected(now):
             return False
@@ -270,7 +289,7 @@
     def take(self, outcome: ExchangeOutcome) -> None:
         """Use the outcome of an attempt."""
         shard = self.shards[outcome.shard]
-        shard.running.pop(outcome.attempt, None)
+        attempt = shard.running.pop(outcome.attempt)
         if outcome.ran is not Ran.NOT_RUN:
             shard.ran = Ran.RUN if outcome.ran is Ran.RUN else Ran.UNKNOWN
         if outcome.end in (ExchangeEnd.CONNECT_FAILED, ExchangeEnd.MISDIRECTED):
@@ -278,11 +297,13 @@
             shard.sent -= 1
         if outcome.end is ExchangeEnd.LOST:
             self.tools.losses.note(self.digest, service=shard.service, server=outcome.server)
-        if shard.reply is not None:
+        if not shard.is_open:
             return
         if self.is_usable(outcome):
+            self.open_count -= 1
+            self.replied_count += 1
             shard.reply = outcome.reply
-            shard.replied_at = time.monotonic()
+            shard.replied_at = attempt.handed_at + outcome.latency
             return
         if outcome.reply is not None:
             shard.failure = outcome.reply
@@ -299,7 +320,8 @@
         if self.may_repeat(outcome) and self.send_again(shard):
             shard.second_at = float("inf")
             return
-        shard.given_up = not shard.running
+        if not shard.running:
+            self.give_up(shard)
 
     def is_usable(self, outcome: ExchangeOutcome) -> bool:
         """Whether the reply of an attempt is the answer, or a part of it."""
@@ -345,7 +367,7 @@
             if shard.running or shard.ran is not Ran.NOT_RUN:
                 ran = Ran.UNKNOWN
         self.abandon()
-        timed_out = time.monotonic() >= self.end_of_wait()
+        timed_out = self.tools.clock() >= self.end_of_wait()
         return failed_answer(ran=ran, timed_out=timed_out, random=self.tools.random)
 
     def slowest(self) -> list[dict[str, object]]:
@@ -369,7 +391,7 @@
             route=self.route.name,
             service=shard.service,
             sent=shard.sent,
-            age_ms=round((time.monotonic() - self.request.received_at) * 1000),
+            age_ms=round((self.tools.clock() - self.request.received_at) * 1000),
             **details,
         )
 
--- a/src/rhubarbway/services/forwarding_tools.py
+++ b/src/rhubarbway/services/forwarding_tools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -42,6 +43,8 @@
 
     Attributes
     ----------
+    clock : callable
+        Returns the current instant, by default that of ``time.monotonic()``.
     pools_of : callable
         Returns the pools of a service.
     zone : str
@@ -60,6 +63,7 @@
 
     __slots__ = (
         "budget",
+        "clock",
         "log",
         "losses",
         "next_number",
@@ -82,7 +86,9 @@
         losses: LossService,
         random: Random,
         log,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.clock = clock
         self.losses = losses
         self.pools_of = pools_of
         self.zone = zone
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -78,6 +78,7 @@
         shard: str,
         kind: str,
         deadline: float,
+        handed_at: float,
         usual_s: float,
         deliver: Callable[[ExchangeOutcome], None],
     ) -> None:
@@ -91,7 +92,7 @@
         self.cancelled = False
         self.connection: HttpConnection | None = None
         self.call_number = 0
-        self.handed_at = time.monotonic()
+        self.handed_at = handed_at
 
     def cancel(self) -> None:
         """Stop the attempt; its connection is closed if the request was already sent."""
--- /dev/null
+++ b/src/rhubarbway/services/tests/test_caller_inbox.py
@@ -0,0 +1,108 @@
+"""Tests of the inbox of a forwarded request."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from rhubarbway.model import ExchangeEnd, ExchangeOutcome, Ran, ReplicaReply
+from rhubarbway.services.caller_inbox import CallerInbox
+
+# Longer than any wait that should end early, seconds.
+LONG_S = 5.0
+
+
+def outcome(*, end=ExchangeEnd.ANSWERED, status=200, proof="p"):
+    reply = ReplicaReply(status=status, headers=(), body=b"", proof=proof, ran=Ran.RUN)
+    return ExchangeOutcome(
+        attempt=1, shard="s", server="i-1", end=end, ran=Ran.RUN, latency=0.01, reply=reply
+    )
+
+
+def put_later(inbox, *outcomes, after_s=0.05):
+    def put_all():
+        time.sleep(after_s)
+        for found in outcomes:
+            inbox.put(found)
+
+    thread = threading.Thread(target=put_all)
+    thread.start()
+    return thread
+
+
+@pytest.fixture
+def inbox():
+    opened = CallerInbox(sock=None)
+    yield opened
+    opened.close()
+
+
+class TestWait:
+    def test_replies_that_decide_nothing_do_not_wake_the_task(self, inbox):
+        """Guards against one wake-up for each part of a wide fan-out."""
+        thread = put_later(inbox, outcome(), after_s=0.0)
+        began = time.monotonic()
+        taken = inbox.take(0.2, wanted=2)
+        thread.join()
+        assert time.monotonic() - began >= 0.19
+        assert len(taken) == 1
+
+    def test_the_last_wanted_reply_ends_the_wait(self, inbox):
+        thread = put_later(inbox, outcome(), outcome())
+        assert len(inbox.take(LONG_S, wanted=2)) == 2
+        thread.join()
+
+    @pytest.mark.parametrize(
+        "urgent",
+        [
+            outcome(end=ExchangeEnd.LOST),
+            outcome(end=ExchangeEnd.FAILED, status=500),
+            outcome(status=404),
+            outcome(proof=""),
+        ],
+    )
+    def test_what_is_no_success_ends_the_wait_at_once(self, inbox, urgent):
+        """Guards against a failure that is noticed only after the other replies."""
+        thread = put_later(inbox, urgent)
+        began = time.monotonic()
+        assert inbox.take(LONG_S, wanted=9) == [urgent]
+        thread.join()
+        assert time.monotonic() - began < LONG_S / 2
+
+    def test_replies_that_came_before_the_wait_end_it(self, inbox):
+        inbox.put(outcome())
+        inbox.put(outcome())
+        assert len(inbox.take(LONG_S, wanted=2)) == 2
+
+    def test_a_failure_does_not_wake_the_task_twice(self, inbox):
+        inbox.put(outcome(end=ExchangeEnd.LOST))
+        assert len(inbox.take(LONG_S, wanted=3)) == 1
+        assert inbox.take(0.05, wanted=3) == []
+
+    def test_no_reply_is_lost_between_two_waits(self, inbox):
+        """Guards against a wake-up that is missed while the number of wanted replies changes."""
+        total = 2000
+
+        def put_all():
+            for _ in range(total):
+                inbox.put(outcome())
+
+        thread = threading.Thread(target=put_all)
+        thread.start()
+        left = total
+        while left:
+            left -= len(inbox.take(LONG_S, wanted=min(left, 7)))
+        thread.join()
+        assert left == 0
+
+
+class TestCaller:
+    def test_the_end_of_the_caller_ends_the_wait(self):
+        ours, theirs = socket.socketpair()
+        opened = CallerInbox(sock=ours)
+        theirs.close()
+        assert opened.take(LONG_S, wanted=9) == []
+        assert opened.caller_left
+        opened.close()
+        ours.close()
--- a/src/rhubarbway/services/tests/test_forward_run.py
+++ b/src/rhubarbway/services/tests/test_forward_run.py
@@ -1,5 +1,6 @@
 """Tests of one forwarded request over pools without a network."""
 
+import threading
 import time
 from random import Random
 
@@ -155,8 +156,8 @@
         inbox = setting.run.inbox
         take = inbox.take
 
-        def take_late(timeout_s):
-            outcomes = take(timeout_s)
+        def take_late(timeout_s, *, wanted):
+            outcomes = take(timeout_s, wanted=wanted)
             if not outcomes:
                 time.sleep(0.003)
             return outcomes
@@ -173,6 +174,23 @@
         assert answer.missing == 1
         assert time.monotonic() - began < 1.5 * TARGET_S
 
+    def test_replies_after_the_second_attempts_still_make_a_partial_answer_in_time(self):
+        """A fan-out of 36 shards: replies woke nobody, and the task slept past the target, since
+        it knew of too few replies when it began to wait."""
+
+        def answers_later(pool, attempt):
+            timer = threading.Timer(0.4 * TARGET_S, lambda: attempt.deliver(answers(pool, attempt)))
+            timer.start()
+
+        shards = tuple("abcd")
+        pools = {name: pools_of(name, answers_later) for name in "abc"}
+        pools["d"] = pools_of("d", hangs)
+        setting = Setting(route=route_of(shards=shards), pools=pools)
+        began = time.monotonic()
+        answer = setting.run.run()
+        assert answer.missing == 1
+        assert time.monotonic() - began < TARGET_S
+
     def test_too_few_shards_by_the_target_are_waited_for(self):
         shards = tuple("abcd")
         pools = {name: pools_of(name, answers) for name in "ab"}
