Answer waiting followers at once when a host stops

Requests in flight may use 5.2 s of the 6 s, and the stop then waited for hosts that follow this one, whose long poll lasts up to 1 s.

Change: the long polls end when the fleet service stops. The new test failed without that (the stop took most of a second) and passes with it.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -11,12 +11,15 @@
 from proofs.gateway_fleet import GatewayFleet, wait_until
 from rhubarbway.decisions.fleet_view import STORE_READERS
 from rhubarbway.services import registry
-from rhubarbway.services.names import FORWARDING, REGISTRY, SERVERS
+from rhubarbway.services.gateway import GRACE_SHARE
+from rhubarbway.services.names import FLEET, FORWARDING, REGISTRY, SERVERS
 from rhubarbway_standins.platform.consumer import asked, asked_once, merged_answer_problem
 from rhubarbway_standins.platform.site import BOARD, BOOKING, HOST, SEARCH, SINGLE
 from rhubarbway_standins.platform.store import StoreMode
 
 QUICK_S = 0.6
+# Time that the users' platform leaves a process to stop, seconds.
+GRACE_S = 6.0
 
 
 @pytest.fixture
@@ -287,6 +290,19 @@
             # Each reader has two watches, and one that was waiting at either end.
             assert fleet.site.store.calls - before <= 3 * STORE_READERS
 
+    def test_a_host_that_stops_does_not_wait_for_its_followers(self):
+        """Seen on scale-2 of tinta: requests in flight had used most of the grace, the stop then
+        waited for followers whose long poll had just begun, and the process was killed."""
+        with GatewayFleet(hosts=3) as fleet:
+            # A change ends all long polls, so that new ones have just begun.
+            version = fleet.site.version
+            fleet.site.publish(fleet.site.configuration())
+            wait_until(lambda: all(fleet.version(number) > version for number in range(3)))
+            time.sleep(0.1)
+            began = time.monotonic()
+            fleet.kernels[0].find(FLEET).stop()
+            assert time.monotonic() - began < (1.0 - GRACE_SHARE) * GRACE_S / 2
+
     def test_each_host_takes_its_part_of_the_retry_allowance(self):
         """First score of sn, BUDGET: hosts that did not count each other each used all of it."""
         with GatewayFleet(hosts=3) as fleet:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -5,7 +5,7 @@
 import secrets
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from werkzeug.wrappers import Request, Response
@@ -62,7 +62,7 @@
 
     def __init__(self, *, listen: str, zone: str, seeds: list[str]) -> None:
         self.listen = listen
-        self.seeds = [seed for seed in seeds if seed != listen]
+        self.seeds: list[str] = []
         now = time.monotonic()
         own = FleetMember(address=listen, zone=zone, incarnation=secrets.token_hex(8), heard_at=now)
         self.view = FleetView(own=own)
@@ -79,6 +79,11 @@
         self.losses: LossService
         self.registry: RegistryService
         self.server: HttpServer
+        self.set_seeds(seeds)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take over the hosts to ask while nobody else is known."""
+        self.seeds = [seed for seed in seeds if seed != self.listen]
 
     def start(self, kernel: Kernel) -> None:
         """Listen for followers, and start to follow."""
@@ -98,6 +103,7 @@
     def stop(self) -> None:
         """Stop following and answering."""
         self.stopping.set()
+        self.registry.release_followers()
         self.server.stop(grace_s=0.1)
 
     def leave(self) -> None:
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -90,6 +90,7 @@
         "make_client",
         "random",
         "reachable",
+        "released",
         "routing",
         "servers",
         "settled_at",
@@ -103,6 +104,8 @@
         self.view = StoreView()
         self.changed = threading.Condition()
         self.complete = False
+        # Whether hosts that follow this one get their answer without waiting for a change.
+        self.released = False
         self.reachable = True
         # Deletions seen just after an outage of the store, and when they are believed.
         self.held_back: dict[str, StoreItem] = {}
@@ -259,7 +262,7 @@
     def changes(self, *, after: int | None, wait_s: float) -> Changes:
         """Return the changes after a number, waiting for one, or the whole copy for None."""
         with self.changed:
-            if after is not None and after == self.view.sequence:
+            if after is not None and after == self.view.sequence and not self.released:
                 self.changed.wait(wait_s)
             items = self.view.since(after) if after is not None else None
             whole = items is None
@@ -271,6 +274,12 @@
                 complete=self.complete,
             )
 
+    def release_followers(self) -> None:
+        """Answer the hosts that wait for changes, now and from now on."""
+        with self.changed:
+            self.released = True
+            self.changed.notify_all()
+
     def put_into_force(self, news: Sequence[StoreItem], source: str) -> None:
         """Pass changes on to the routing table and the servers."""
         changed: list[BackendServer] = []
