Put changed settings into force while a gateway runs

Seeds, retry limits and the times of a stop come into force on SIGHUP, or within a second when the file changes without a signal; other settings are named in the log as needing a restart. Faulty settings change nothing.

A host that starts also shares the retry allowance with the assumed number of hosts until it has heard of others. It took all of it before (read in the code); the new test fails without the change.

--- a/src/rhubarbway/decisions/arrival_budget.py
+++ b/src/rhubarbway/decisions/arrival_budget.py
@@ -35,11 +35,12 @@
         Extra attempts allowed besides, over all hosts.
     window_s : float
         Length of the window, seconds.
+    hosts : int
+        Entry hosts that share the allowance.
 
     Examples
     --------
-    >>> budget = ArrivalBudget(ratio=0.2, allowance=10, window_s=10.0)
-    >>> budget.hosts = 5
+    >>> budget = ArrivalBudget(ratio=0.2, allowance=10, window_s=10.0, hosts=5)
     >>> [budget.take("desk", now=1.0) for _ in range(2)]
     [True, False]
     >>> for _ in range(12):
@@ -52,11 +53,11 @@
 
     __slots__ = ("allowance", "hosts", "ratio", "services", "window_s")
 
-    def __init__(self, *, ratio: float, allowance: float, window_s: float) -> None:
+    def __init__(self, *, ratio: float, allowance: float, window_s: float, hosts: int = 1) -> None:
         self.ratio = ratio
         self.allowance = allowance
         self.window_s = window_s
-        self.hosts = 1
+        self.hosts = hosts
         self.services: dict[str, ServiceWindow] = {}
 
     def note_request(self, service: str, *, now: float) -> None:
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -11,6 +11,7 @@
 from returns.result import Result, Success
 
 from rhubarbway.decisions.arrival_budget import ArrivalBudget
+from rhubarbway.decisions.fleet_view import UNKNOWN_COUNT
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import Finding
 from rhubarbway.platform.consumers import request_of, response_of
@@ -39,6 +40,7 @@
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.server_pool import ReplicaDialect
 from rhubarbway.services.servers import ServerService
+from rhubarbway.services.settings_reload import SettingsReload
 from rhubarbway.settings import GatewaySettings, gateway_settings_from_bytes
 
 SETTINGS_VARIABLE = "RHUBARBWAY_CONFIG"
@@ -47,6 +49,8 @@
 SWITCH_INTERVAL_S = 0.1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNALS = (signal.SIGHUP,)
+# The platform may change the settings file without a signal; a look at the file is one system call.
+SETTINGS_CHECK_S = 1.0
 
 
 def kernel_of(settings: GatewaySettings) -> Kernel:
@@ -62,6 +66,7 @@
         ratio=settings.retry_ratio,
         allowance=settings.retry_allowance,
         window_s=settings.retry_window_s,
+        hosts=UNKNOWN_COUNT,
     )
     forwarding = kernel.register(FORWARDING, ForwardingService(zone=settings.zone, budget=budget))
     kernel.register(
@@ -119,8 +124,13 @@
         os._exit(1)
     log = part_logger("gateway")
     log.info("Started.", host=settings.name, zone=settings.zone)
-    while signal.sigwait((*STOP_SIGNALS, *RELOAD_SIGNALS)) in RELOAD_SIGNALS:
-        log.info("Settings read again.", usable=isinstance(read_settings(path), Success))
+    reload = SettingsReload(path=path, in_force=settings, kernel=kernel)
+    wanted = (*STOP_SIGNALS, *RELOAD_SIGNALS)
+    while True:
+        received = signal.sigtimedwait(wanted, SETTINGS_CHECK_S)
+        if received is not None and received.si_signo in STOP_SIGNALS:
+            break
+        reload.check(signalled=received is not None)
     kernel.stop()
     log.info("Stopped.", host=settings.name)
     # Connection tasks that wait for a server would hold the interpreter until their time limit.
--- a/src/rhubarbway/services/forwarding_tools.py
+++ b/src/rhubarbway/services/forwarding_tools.py
@@ -32,6 +32,13 @@
         with self.lock:
             return self.budget.take(service, now=now, reserve=reserve)
 
+    def set_limits(self, *, ratio: float, allowance: float, window_s: float) -> None:
+        """Replace the limits; what was counted in the window stays."""
+        with self.lock:
+            self.budget.ratio = ratio
+            self.budget.allowance = allowance
+            self.budget.window_s = window_s
+
     def set_hosts(self, hosts: int) -> None:
         """Set the number of entry hosts that share the allowance."""
         with self.lock:
@@ -53,8 +60,9 @@
         Limit of attempts beyond the first.
     next_number : callable
         Returns a fresh number of an attempt.
-    second_attempt_delay, usual_s : callable
-        Learnt times of a route, seconds.
+    second_attempt_delay, usual_s, processing_s : callable
+        Learnt times of a route, seconds. The last one is what an answer needs between the end of
+        its wait and its departure.
     losses : LossService
         Requests that end their servers.
     log : logger
@@ -68,6 +76,7 @@
         "losses",
         "next_number",
         "pools_of",
+        "processing_s",
         "random",
         "second_attempt_delay",
         "usual_s",
@@ -83,6 +92,7 @@
         next_number: Callable[[], int],
         second_attempt_delay: Callable[[Route], float],
         usual_s: Callable[[Route], float],
+        processing_s: Callable[[Route], float],
         losses: LossService,
         random: Random,
         log,
@@ -96,5 +106,6 @@
         self.next_number = next_number
         self.second_attempt_delay = second_attempt_delay
         self.usual_s = usual_s
+        self.processing_s = processing_s
         self.random = random
         self.log = log
--- /dev/null
+++ b/src/rhubarbway/services/settings_reload.py
@@ -0,0 +1,111 @@
+"""Puts changed settings of a gateway into force while it runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from returns.result import Success
+
+from rhubarbway.kernel import Kernel
+from rhubarbway.services.log import part_logger
+from rhubarbway.services.names import FLEET, FORWARDING, GATEWAY
+from rhubarbway.settings import GatewaySettings, gateway_settings_from_bytes
+
+
+def apply_seeds(kernel: Kernel, settings: GatewaySettings) -> None:
+    """Ask other hosts from now on."""
+    kernel.find(FLEET).set_seeds(settings.seeds)
+
+
+def apply_retry_limits(kernel: Kernel, settings: GatewaySettings) -> None:
+    """Replace the limits of further attempts."""
+    kernel.find(FORWARDING).budget.set_limits(
+        ratio=settings.retry_ratio,
+        allowance=settings.retry_allowance,
+        window_s=settings.retry_window_s,
+    )
+
+
+def apply_stop_times(kernel: Kernel, settings: GatewaySettings) -> None:
+    """Replace the times of a graceful stop."""
+    gateway = kernel.find(GATEWAY)
+    gateway.notice_s = settings.leave_notice_s
+    gateway.grace_s = settings.grace_s
+
+
+# Settings that come into force while the process runs. Any other one needs a new process.
+LIVE_SETTINGS: dict[str, Callable[[Kernel, GatewaySettings], None]] = {
+    "seeds": apply_seeds,
+    "retry_ratio": apply_retry_limits,
+    "retry_allowance": apply_retry_limits,
+    "retry_window_s": apply_retry_limits,
+    "leave_notice_s": apply_stop_times,
+    "grace_s": apply_stop_times,
+}
+
+
+class SettingsReload:
+    """Watches the settings file of a running gateway.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    in_force : GatewaySettings
+        Settings that the kernel was built from.
+    kernel : Kernel
+        The running services.
+    """
+
+    __slots__ = ("in_force", "kernel", "log", "path", "seen")
+
+    def __init__(self, *, path: Path, in_force: GatewaySettings, kernel: Kernel) -> None:
+        self.path = path
+        self.in_force = in_force
+        self.kernel = kernel
+        self.log = part_logger("settings")
+        self.seen = self.stamp()
+
+    def stamp(self) -> tuple[int, int, int] | None:
+        """Return what changes with the content of the file, or None if it cannot be read."""
+        try:
+            found = self.path.stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+    def check(self, *, signalled: bool) -> None:
+        """Read the file again if it has changed, or if a signal says so."""
+        stamp = self.stamp()
+        if stamp == self.seen and not signalled:
+            return
+        self.seen = stamp
+        try:
+            result = gateway_settings_from_bytes(self.path.read_bytes(), source=str(self.path))
+        except OSError as error:
+            self.log.error("Settings cannot be read; the last ones stay.", problem=str(error))
+            return
+        if not isinstance(result, Success):
+            findings = [str(finding) for finding in result.failure()][:8]
+            self.log.error("Settings have findings; the last ones stay.", findings=findings)
+            return
+        self.put_into_force(result.unwrap())
+
+    def put_into_force(self, settings: GatewaySettings) -> None:
+        """Apply what differs from the settings in force."""
+        changed = [
+            name
+            for name in GatewaySettings.__slots__
+            if getattr(settings, name) != getattr(self.in_force, name)
+        ]
+        applied = [name for name in changed if name in LIVE_SETTINGS]
+        for apply in {LIVE_SETTINGS[name] for name in applied}:
+            apply(self.kernel, settings)
+        for name in applied:
+            setattr(self.in_force, name, getattr(settings, name))
+        self.log.info(
+            "Settings read again.",
+            applied=applied,
+            needs_restart=[name for name in changed if name not in LIVE_SETTINGS],
+        )
--- /dev/null
+++ b/src/rhubarbway/services/tests/test_settings_reload.py
@@ -0,0 +1,72 @@
+"""Tests of settings that change while a gateway runs."""
+
+import json
+
+import pytest
+
+from rhubarbway.gateway import kernel_of
+from rhubarbway.services.names import FLEET, FORWARDING, GATEWAY
+from rhubarbway.services.settings_reload import SettingsReload
+from rhubarbway.settings import GatewaySettings
+
+FIRST = {
+    "name": "g",
+    "zone": "z",
+    "listen": "127.0.0.1:9001",
+    "ready_listen": "127.0.0.1:9002",
+    "peer_listen": "127.0.0.1:9003",
+    "store": "127.0.0.1:9004",
+    "seeds": ["127.0.0.1:9005"],
+}
+
+
+@pytest.fixture
+def reload(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(FIRST))
+    settings = GatewaySettings(**FIRST)
+    return SettingsReload(path=path, in_force=settings, kernel=kernel_of(settings))
+
+
+def change(reload, **fields):
+    reload.path.write_text(json.dumps(FIRST | fields))
+
+
+class TestReload:
+    def test_a_changed_file_comes_into_force_without_a_signal(self, reload):
+        """Guards against a host that asks seeds which were replaced long ago."""
+        change(reload, seeds=["127.0.0.1:9006", "127.0.0.1:9003"], grace_s=9.0, retry_ratio=0.3)
+        reload.check(signalled=False)
+        assert reload.kernel.find(FLEET).seeds == ["127.0.0.1:9006"]
+        assert reload.kernel.find(GATEWAY).grace_s == 9.0
+        assert reload.kernel.find(FORWARDING).budget.budget.ratio == 0.3
+
+    @pytest.mark.parametrize("text", ["{", "[]", '{"name": 3}', ""])
+    def test_a_faulty_file_changes_nothing(self, reload, text):
+        reload.path.write_text(text)
+        reload.check(signalled=True)
+        assert reload.kernel.find(FLEET).seeds == ["127.0.0.1:9005"]
+
+    def test_a_missing_file_changes_nothing_and_a_later_one_is_read(self, reload):
+        reload.path.unlink()
+        reload.check(signalled=False)
+        assert reload.kernel.find(FLEET).seeds == ["127.0.0.1:9005"]
+        change(reload, seeds=["127.0.0.1:9007"])
+        reload.check(signalled=False)
+        assert reload.kernel.find(FLEET).seeds == ["127.0.0.1:9007"]
+
+    def test_an_address_needs_a_new_process(self, reload):
+        change(reload, store="127.0.0.1:9999")
+        reload.check(signalled=True)
+        assert reload.in_force.store == FIRST["store"]
+
+
+class TestBudget:
+    def test_a_host_that_starts_takes_only_a_part_of_the_retry_allowance(self, reload):
+        """Read in the code: until its first exchange a host took the whole allowance for its own,
+        so that hosts which start together could break the limit that they share."""
+        budget = reload.kernel.find(FORWARDING).budget.budget
+        taken = 0
+        while budget.take("desk", now=1.0):
+            taken += 1
+        assert taken <= budget.allowance / 9
