Learn how long a partial answer needs to leave after its wait

Change: the time from the end of the wait until the answer is encoded is learnt (moving mean and deviation) and kept free before the target, up to a quarter of it.

--- a/proofs/test_gateway_processes.py
+++ b/proofs/test_gateway_processes.py
@@ -49,9 +49,7 @@
         threads = [threading.Thread(target=ask, args=(number,)) for number in range(REQUESTS)]
         for thread in threads:
             thread.start()
-        wait_until(
-            lambda: len({found.request_id for found in gateways.site.arrivals}) == REQUESTS
-        )
+        wait_until(lambda: len({found.request_id for found in gateways.site.arrivals}) == REQUESTS)
         began = time.monotonic()
         gateways.processes[0].send(signal.SIGTERM)
         for thread in threads:
--- a/src/rhubarbway/decisions/attempt_timing.py
+++ b/src/rhubarbway/decisions/attempt_timing.py
@@ -43,9 +43,17 @@
     return min(max(wanted, earliest), latest)
 
 
-def full_value_until(route: Route, *, received_at: float) -> float:
-    """Return the instant until which an answer that leaves has its full value."""
-    return received_at + route.target_s - TARGET_MARGIN_S
+def full_value_until(route: Route, *, received_at: float, processing_s: float = 0.0) -> float:
+    """Return the instant until which a wait may last for an answer of full value.
+
+    Parameters
+    ----------
+    received_at : float
+        Instant at which the request was read.
+    processing_s : float
+        Time that the answer needs between the end of the wait and its departure, seconds.
+    """
+    return received_at + route.target_s - TARGET_MARGIN_S - processing_s
 
 
 def late_answer_at(route: Route, *, received_at: float, deadline: float) -> float:
--- a/src/rhubarbway/model/forwarding.py
+++ b/src/rhubarbway/model/forwarding.py
@@ -160,9 +160,21 @@
         When a refused caller may come back, seconds.
     detail : str
         Reason of a failure of this host's own.
+    due_at : float or None
+        ``time.monotonic()`` instant at which the wait for missing shards ended, if that is why the
+        answer leaves now.
     """
 
-    __slots__ = ("body", "detail", "missing", "proofs", "reply", "retry_after_s", "status")
+    __slots__ = (
+        "body",
+        "detail",
+        "due_at",
+        "missing",
+        "proofs",
+        "reply",
+        "retry_after_s",
+        "status",
+    )
 
     def __init__(
         self,
@@ -174,7 +186,9 @@
         missing: int = 0,
         retry_after_s: float | None = None,
         detail: str = "",
+        due_at: float | None = None,
     ) -> None:
+        self.due_at = due_at
         self.status = status
         self.body = body
         self.reply = reply
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -107,7 +107,9 @@
         self.usual_s = tools.usual_s(route)
         self.second_delay_s = tools.second_attempt_delay(route)
         received_at = request.received_at
-        self.answer_by = full_value_until(route, received_at=received_at)
+        self.answer_by = full_value_until(
+            route, received_at=received_at, processing_s=tools.processing_s(route)
+        )
         # The answer of a fan-out leaves at the latest then, and servers need not work any longer.
         self.attempt_deadline = (
             late_answer_at(route, received_at=received_at, deadline=self.deadline)
@@ -356,7 +358,10 @@
             replies = [shard.reply for shard in shards if shard.reply is not None]
             if covers_enough(self.route, len(replies)):
                 self.abandon_missing()
-                return merged_answer(self.route, replies)
+                answer = merged_answer(self.route, replies)
+                if answer.missing and not self.missed_target:
+                    answer.due_at = self.answer_by
+                return answer
         else:
             shard = next(iter(shards))
             reply = shard.reply or (shard.failure if not shard.running else None)
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -7,6 +7,7 @@
 import time
 from random import Random
 
+from rhubarbway.decisions.answer_margin import AnswerMargin
 from rhubarbway.decisions.arrival_budget import ArrivalBudget
 from rhubarbway.decisions.crash_guard import request_digest
 from rhubarbway.decisions.forward_answers import STARTING_RETRY_AFTER_S, refusal
@@ -32,6 +33,7 @@
         "budget",
         "log",
         "losses",
+        "margin",
         "metrics",
         "random",
         "routing",
@@ -45,6 +47,8 @@
         self.zone = zone
         self.budget = LockedBudget(budget=budget)
         self.times = KindTimesByRoute()
+        # Several tasks write to it without a lock: a lost update is one value of many.
+        self.margin = AnswerMargin()
         self.random = Random()
         self.log = part_logger("forwarding")
         self.losses: LossService
@@ -69,6 +73,7 @@
             next_number=itertools.count(1).__next__,
             second_attempt_delay=self.times.second_attempt_delay,
             usual_s=lambda route: self.times.of(route).usual_s,
+            processing_s=lambda route: self.margin.allowance(target_s=route.target_s),
             losses=self.losses,
             random=self.random,
             log=self.log,
@@ -77,6 +82,11 @@
     def stop(self) -> None:
         """Hold nothing open: requests end in the tasks of their callers."""
 
+    def note_departure(self, answer: ForwardedAnswer) -> None:
+        """Learn how long after the end of its wait an answer was ready to leave."""
+        if answer.due_at is not None:
+            self.margin.note(time.monotonic() - answer.due_at)
+
     def note_table(self, table: RoutingTable) -> None:
         """Forget what was learnt about services and routes that are gone."""
         with self.budget.lock:
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -163,7 +163,9 @@
             answer = ForwardedAnswer(status=500, detail="internal error")
         if answer is None:
             answer = ForwardedAnswer(status=502, detail="the caller has left")
-        return self.encode(answer, request_id=forwarded.request_id)
+        response = self.encode(answer, request_id=forwarded.request_id)
+        self.forwarding.note_departure(answer)
+        return response
 
     def respond_to_bad_request(self, status: int, detail: str) -> Response:
         """Return the answer to a request that was not understood."""
--- a/src/rhubarbway/services/kind_times.py
+++ b/src/rhubarbway/services/kind_times.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 from rhubarbway.decisions.attempt_timing import SECOND_ATTEMPT_QUANTILE, second_attempt_delay
 from rhubarbway.decisions.latency import LatencyDistribution
@@ -34,9 +35,10 @@
 class KindTimesByRoute:
     """The learnt times of all routes."""
 
-    __slots__ = ("kinds", "lock")
+    __slots__ = ("clock", "kinds", "lock")
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
         self.kinds: dict[str, KindTimes] = {}
         self.lock = threading.Lock()
 
@@ -47,7 +49,7 @@
             with self.lock:
                 first = FIRST_GUESS_SHARE * route.target_s
                 times = self.kinds.setdefault(
-                    route.name, KindTimes(usual_s=first, now=time.monotonic())
+                    route.name, KindTimes(usual_s=first, now=self.clock())
                 )
         return times
 
@@ -56,7 +58,7 @@
         times = self.kinds.get(attempt.kind)
         if times is not None and outcome.end is ExchangeEnd.ANSWERED:
             with self.lock:
-                times.record(outcome.latency, time.monotonic())
+                times.record(outcome.latency, self.clock())
 
     def second_attempt_delay(self, route: Route) -> float:
         """Return the time after which an unanswered attempt gets a second one, seconds."""
--- a/src/rhubarbway/services/tests/test_forward_run.py
+++ b/src/rhubarbway/services/tests/test_forward_run.py
@@ -111,6 +111,7 @@
             next_number=lambda: next(numbers),
             second_attempt_delay=lambda route: 0.02,
             usual_s=lambda route: 0.01,
+            processing_s=lambda route: 0.0,
             losses=LossService(),
             random=Random(seed),
             log=part_logger("test"),
