--- /dev/null
+++ b/src/rhubarbway_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator: the forwarding code of entry hosts over emulated servers, in virtual time."""
--- /dev/null
+++ b/src/rhubarbway_emulator/main.py
@@ -0,0 +1,46 @@
+"""Command ``rhubarbway-emulate``: plays named patterns and prints what callers saw."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from rhubarbway_emulator.experiment import play, table
+from rhubarbway_emulator.patterns import PATTERNS
+
+app = typer.Typer(add_completion=False, help=__doc__)
+
+
+@app.command()
+def emulate(
+    names: Annotated[list[str] | None, typer.Argument(help="Patterns; all by default.")] = None,
+    seeds: Annotated[int, typer.Option(min=1, help="Runs of each pattern.")] = 3,
+    first_seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 1,
+) -> None:
+    """Play patterns in virtual time."""
+    unknown = sorted(set(names or ()) - PATTERNS.keys())
+    if unknown:
+        raise typer.BadParameter(f"unknown: {', '.join(unknown)}; known: {', '.join(PATTERNS)}")
+    for name in names or PATTERNS:
+        pattern = PATTERNS[name]
+        results = [play(pattern, seed=first_seed + number) for number in range(seeds)]
+        attempts = sum(result.attempts_per_needed for result in results) / seeds
+        crossing = sum(result.crossing for result in results) / sum(r.arrivals for r in results)
+        value = sum(result.mean_value for result in results) / seeds
+        typer.echo(f"{name}: {pattern.title}")
+        for row in table(pattern, results):
+            typer.echo("  " + "".join(cell.rjust(9) for cell in row))
+        typer.echo(
+            f"  value {value:.3f}, attempts {attempts:.3f} of those needed, "
+            f"{crossing:.2f} of them between zones"
+        )
+
+
+def main() -> None:
+    """Run the command."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/rhubarbway_emulator/tests/test_clock.py
@@ -0,0 +1,88 @@
+"""Tests of virtual time."""
+
+import pytest
+
+from rhubarbway.model import ExchangeEnd, ExchangeOutcome, Ran, ReplicaReply
+from rhubarbway_emulator.clock import VirtualClock, VirtualInbox
+
+
+def outcome(end=ExchangeEnd.ANSWERED):
+    reply = ReplicaReply(status=200, headers=(), body=b"", proof="p", ran=Ran.RUN)
+    return ExchangeOutcome(
+        attempt=1, shard="s", server="i", end=end, ran=Ran.RUN, latency=0.0, reply=reply
+    )
+
+
+@pytest.fixture
+def clock():
+    made = VirtualClock()
+    yield made
+    made.close()
+
+
+class TestVirtualClock:
+    def test_tasks_and_events_run_in_the_order_of_their_instants(self, clock):
+        seen = []
+
+        def task(name, pause_s):
+            seen.append((name, clock.now))
+            clock.sleep(pause_s)
+            seen.append((name, clock.now))
+
+        clock.spawn_at(1.0, lambda: task("a", 2.0))
+        clock.spawn_at(2.0, lambda: task("b", 0.5))
+        clock.call_at(2.75, lambda: seen.append(("event", clock.now)))
+        clock.run()
+        assert seen == [("a", 1.0), ("b", 2.0), ("b", 2.5), ("event", 2.75), ("a", 3.0)]
+
+    def test_a_fault_in_a_task_is_raised(self, clock):
+        """Guards against experiments whose tasks fail without notice."""
+
+        def fail():
+            clock.sleep(1.0)
+            raise ValueError("fault")
+
+        clock.spawn_at(0.0, fail)
+        with pytest.raises(ValueError, match="fault"):
+            clock.run()
+
+
+class TestVirtualInbox:
+    def taken(self, clock, *, puts, wanted, limit_s):
+        inbox = VirtualInbox(clock=clock)
+        found = []
+
+        def task():
+            found.append(len(inbox.take(limit_s, wanted=wanted)))
+            found.append(clock.now)
+
+        clock.spawn_at(0.0, task)
+        for at, one in puts:
+            clock.call_at(at, lambda one=one: inbox.put(one))
+        clock.run()
+        return found
+
+    def test_parts_wake_the_task_only_when_all_are_there(self, clock):
+        puts = [(1.0, outcome()), (2.0, outcome())]
+        assert self.taken(clock, puts=puts, wanted=2, limit_s=9.0) == [2, 2.0]
+
+    def test_a_failure_wakes_it_at_once(self, clock):
+        puts = [(1.0, outcome(ExchangeEnd.LOST)), (2.0, outcome())]
+        assert self.taken(clock, puts=puts, wanted=2, limit_s=9.0) == [1, 1.0]
+
+    def test_the_time_limit_ends_the_wait(self, clock):
+        assert self.taken(clock, puts=[(1.0, outcome())], wanted=2, limit_s=3.0) == [1, 3.0]
+
+    def test_a_time_limit_of_an_earlier_wait_does_not_end_a_later_one(self, clock):
+        inbox = VirtualInbox(clock=clock)
+        ends = []
+
+        def task():
+            inbox.take(5.0)
+            inbox.take(7.0)
+            ends.append(clock.now)
+
+        clock.spawn_at(0.0, task)
+        clock.call_at(1.0, lambda: inbox.put(outcome()))
+        clock.run()
+        assert ends == [8.0]
--- /dev/null
+++ b/src/rhubarbway_emulator/tests/test_main.py
@@ -0,0 +1,17 @@
+"""Tests of the command that plays patterns."""
+
+from typer.testing import CliRunner
+
+from rhubarbway_emulator.main import app
+
+
+class TestCommand:
+    def test_prints_a_row_for_each_kind(self):
+        ended = CliRunner().invoke(app, ["calm", "--seeds", "1"])
+        assert ended.exit_code == 0
+        assert "sweep" in ended.output and "alert" in ended.output
+
+    def test_names_the_patterns_it_knows(self):
+        ended = CliRunner().invoke(app, ["clam"])
+        assert ended.exit_code != 0
+        assert "slow-servers" in ended.output
