Count exchange latencies apart from the metrics library

Cause: aioprometheus serializes the labels and walks over all buckets for each observation; in a profile of a fan-out over 36 shards it took about 15 % of the interpreter's time, in the second after the query.

Change: a tally with a lock counts by label and bucket, and is written into the histogram when the metrics are read.

--- /dev/null
+++ b/src/rhubarbway/services/latency_tally.py
@@ -0,0 +1,71 @@
+"""Counts of latencies by label, cheap enough for each attempt of a fan-out.
+
+``aioprometheus.Histogram.observe`` serializes its labels and walks over all buckets, which took
+about an eighth of the processor time of a fan-out over 36 shards. The tally only counts; the
+histograms are written when somebody asks for the metrics.
+"""
+
+from __future__ import annotations
+
+import threading
+from bisect import bisect_left
+from collections.abc import Sequence
+
+from aioprometheus import Histogram
+from aioprometheus.histogram import Histogram as Buckets
+
+
+class Tally:
+    """Values of one set of labels: how many fell into each bucket, and their sum."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self, *, buckets: int) -> None:
+        self.counts = [0] * buckets
+        self.total = 0.0
+
+
+class LatencyTally:
+    """Counts by the values of the labels; several threads may use it.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Names of the labels.
+    bounds : sequence of float
+        Upper bounds of the buckets, rising; a last one without bound is added.
+    """
+
+    __slots__ = ("bounds", "lock", "names", "tallies")
+
+    def __init__(self, *, names: Sequence[str], bounds: Sequence[float]) -> None:
+        self.names = tuple(names)
+        self.bounds = tuple(bounds)
+        self.lock = threading.Lock()
+        self.tallies: dict[tuple[str, ...], Tally] = {}
+
+    def observe(self, labels: tuple[str, ...], seconds: float) -> None:
+        """Count one latency; ``labels`` are in the order of the names."""
+        bucket = bisect_left(self.bounds, seconds)
+        with self.lock:
+            tally = self.tallies.get(labels)
+            if tally is None:
+                tally = self.tallies[labels] = Tally(buckets=len(self.bounds) + 1)
+            tally.counts[bucket] += 1
+            tally.total += seconds
+
+    def write_to(self, histogram: Histogram) -> None:
+        """Set the values of a histogram with the same buckets to what was counted."""
+        with self.lock:
+            counted = [
+                (labels, list(tally.counts), tally.total) for labels, tally in self.tallies.items()
+            ]
+        for labels, counts, total in counted:
+            buckets = Buckets(*self.bounds)
+            cumulative = 0
+            for bound, count in zip(buckets.buckets, counts, strict=True):
+                cumulative += count
+                buckets.buckets[bound] = cumulative
+            buckets.observations = cumulative
+            buckets.sum = total
+            histogram.set_value(dict(zip(self.names, labels, strict=True)), buckets)
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -12,6 +12,7 @@
 from aioprometheus.formats import text
 
 from rhubarbway.kernel import Kernel
+from rhubarbway.services.latency_tally import LatencyTally
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 5.0]
 COVERAGE_BUCKETS = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999999, 1.0]
@@ -38,6 +39,7 @@
         "coverage",
         "dropped",
         "entry_hosts",
+        "exchange_tally",
         "exchanges",
         "executor",
         "failures",
@@ -102,6 +104,7 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.exchange_tally = LatencyTally(names=("service", "end"), bounds=LATENCY_BUCKETS_S)
         self.entry_hosts = Gauge(
             "rhubarbway_entry_hosts",
             "Entry hosts that share the limits, as this one counts them.",
@@ -139,6 +142,8 @@
                 stopping = self.stopping
                 scrapes, self.scrapes = self.scrapes, []
             self.apply_pending()
+            if scrapes:
+                self.exchange_tally.write_to(self.exchanges)
             for scrape in scrapes:
                 scrape.put(text.TextFormatter().marshall(self.registry))
             if stopping:
@@ -199,7 +204,7 @@
 
     def observe_exchange(self, *, service: str, end: str, seconds: float) -> None:
         """Record the end of an attempt at a backend server."""
-        self.post(lambda: self.exchanges.observe({"service": service, "end": end}, seconds))
+        self.exchange_tally.observe((service, end), seconds)
 
     def set_entry_hosts(self, count: int) -> None:
         """Record the number of entry hosts."""
