Let an event without an outcome end only one wait

Cause: an outcome could be taken before its event was written; the event then stayed readable, and the task went round without waiting until the next outcome came. Found by a test that failed once: a reply before the first wait also wrote an event.

Change: the event is read where it is seen, and successes write none while the task does not wait. Both new tests failed before.

--- a/src/rhubarbway/services/caller_inbox.py
+++ b/src/rhubarbway/services/caller_inbox.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import select
 import socket
+import sys
 from collections import deque
 
 from rhubarbway.model import ExchangeOutcome
 
+# Number of successes while the task does not wait: it looks at what has arrived before it does.
+NOBODY_WAITS = sys.maxsize
+
 
 class CallerInbox:
     """Outcomes for one request; the wait ends early when the caller closes its connection.
@@ -32,7 +35,7 @@
         self.event: int | None = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.caller_left = False
         # Successes that wake the task, and whether something else has arrived.
-        self.wanted = 1
+        self.wanted = NOBODY_WAITS
         self.urgent = False
         self.poll = select.poll()
         self.poll.register(self.event, select.POLLIN)
@@ -65,16 +68,15 @@
         self.wanted = wanted
         if not self.urgent and len(self.outcomes) < wanted and timeout_s > 0.0:
             for descriptor, _ in self.poll.poll(timeout_s * 1000):
-                if descriptor != self.event:
+                if descriptor == self.event:
+                    os.eventfd_read(descriptor)
+                else:
                     self.look_at_caller()
+        self.wanted = NOBODY_WAITS
         self.urgent = False
         taken = []
         while self.outcomes:
             taken.append(self.outcomes.popleft())
-        if taken and self.event is not None:
-            # The event is not written yet if the outcome was added just now.
-            with contextlib.suppress(BlockingIOError):
-                os.eventfd_read(self.event)
         return taken
 
     def look_at_caller(self) -> None:
--- a/src/rhubarbway/services/tests/test_caller_inbox.py
+++ b/src/rhubarbway/services/tests/test_caller_inbox.py
@@ -1,5 +1,6 @@
 """Tests of the inbox of a forwarded request."""
 
+import os
 import socket
 import threading
 import time
@@ -75,11 +76,25 @@
         inbox.put(outcome())
         assert len(inbox.take(LONG_S, wanted=2)) == 2
 
+    def test_replies_before_the_wait_write_no_event(self, inbox):
+        """Guards against one system call for each reply that comes while requests are sent."""
+        for _ in range(3):
+            inbox.put(outcome())
+        assert not inbox.poll.poll(0)
+
     def test_a_failure_does_not_wake_the_task_twice(self, inbox):
         inbox.put(outcome(end=ExchangeEnd.LOST))
         assert len(inbox.take(LONG_S, wanted=3)) == 1
         assert inbox.take(0.05, wanted=3) == []
 
+    def test_an_event_without_an_outcome_ends_one_wait_only(self, inbox):
+        """Guards against a task that spins: an outcome is taken before its event is written."""
+        os.eventfd_write(inbox.event, 1)
+        assert inbox.take(LONG_S) == []
+        began = time.monotonic()
+        assert inbox.take(0.1) == []
+        assert time.monotonic() - began >= 0.09
+
     def test_no_reply_is_lost_between_two_waits(self, inbox):
         """Guards against a wake-up that is missed while the number of wanted replies changes."""
         total = 2000
