Count the time for a second attempt from when the first one was sent

Cause: on a host with half a core, sending 36 requests takes longer than the time after which a second attempt follows. Requests that had not left the host yet got second ones, which cost it more of the same processor time.

Change: lateness and the learnt times of replies count from when the attempt was sent, or began to wait for a free connection.

--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -35,8 +35,8 @@
 # same one.
 RANK_SPREAD = 0.1
 # What a request to another zone costs more, seconds: the round trip, as the users' zones lie 3 to
-# 4.4 ms apart one way, and a little for the price of traffic between zones.
-ZONE_DISTANCE_S = 0.012
+# 4.4 ms apart one way, and as much again for the price of traffic between zones.
+ZONE_DISTANCE_S = 0.02
 
 
 # Shards of a late answer that are named in the log.
@@ -249,8 +249,14 @@
         pool.submit(attempt)
 
     def send_second_attempts(self, now: float) -> None:
-        """Send a second attempt for each shard whose first one is late."""
+        """Send a second attempt for each shard whose first one is late.
+
+        An attempt that this host has sent late is not late yet. A second one would only cost the
+        host more of the processor time that it lacks.
+        """
         waiting = [shard for shard in self.open_shards() if shard.second_at < float("inf")]
+        for shard in waiting:
+            shard.second_at = max(shard.second_at, shard.waits_since(now) + self.second_delay_s)
         self.second_at = min(
             (shard.second_at for shard in waiting if shard.second_at > now), default=float("inf")
         )
@@ -305,7 +311,7 @@
             self.open_count -= 1
             self.replied_count += 1
             shard.reply = outcome.reply
-            shard.replied_at = attempt.handed_at + outcome.latency
+            shard.replied_at = attempt.began_at + outcome.latency
             return
         if outcome.reply is not None:
             shard.failure = outcome.reply
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -53,7 +53,8 @@
     """One request on its way to one server.
 
     ``deliver`` takes the outcome; it is called exactly once. ``kind`` is the name of the route and
-    ``usual_s`` the usual time of its replies, seconds.
+    ``usual_s`` the usual time of its replies, seconds. ``waits_since`` is the instant since which
+    the attempt waits for the server; None while it waits for the processor of this host.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         "request",
         "shard",
         "usual_s",
+        "waits_since",
     )
 
     def __init__(
@@ -93,6 +95,12 @@
         self.connection: HttpConnection | None = None
         self.call_number = 0
         self.handed_at = handed_at
+        self.waits_since: float | None = None
+
+    @property
+    def began_at(self) -> float:
+        """Instant from which the time of the server counts."""
+        return self.handed_at if self.waits_since is None else self.waits_since
 
     def cancel(self) -> None:
         """Stop the attempt; its connection is closed if the request was already sent."""
@@ -176,6 +184,7 @@
                 self.idle.pop().mailbox.put(attempt)
                 return
             if self.connections >= self.limit:
+                attempt.waits_since = attempt.handed_at
                 self.waiting.append(attempt)
                 return
             self.connections += 1
@@ -233,6 +242,7 @@
         if now >= connection.idle_until:
             http.disconnect()
         left_s = attempt.deadline - now
+        attempt.waits_since = attempt.waits_since or now
         attempt.call_number = http.call_number + 1
         attempt.connection = http
         if attempt.cancelled:
@@ -301,7 +311,7 @@
             server=self.server.id,
             end=end,
             ran=ran,
-            latency=time.monotonic() - attempt.handed_at,
+            latency=time.monotonic() - attempt.began_at,
             reply=reply,
             detail=detail,
         )
--- a/src/rhubarbway/services/shard_run.py
+++ b/src/rhubarbway/services/shard_run.py
@@ -57,3 +57,8 @@
     def is_open(self) -> bool:
         """Whether a reply may still come."""
         return self.reply is None and not self.given_up
+
+    def waits_since(self, now: float) -> float:
+        """Return the instant since which a running attempt waits for its server."""
+        sent = [attempt.waits_since for attempt in self.running.values()]
+        return min((now if at is None else at for at in sent), default=now)
--- a/src/rhubarbway/services/tests/test_forward_run.py
+++ b/src/rhubarbway/services/tests/test_forward_run.py
@@ -41,6 +41,7 @@
     def submit(self, attempt):
         self.submitted.append(attempt)
         self.state.note_sent(attempt.number, attempt.handed_at)
+        attempt.waits_since = attempt.handed_at
         outcome = self.respond(self, attempt)
         if outcome is not None:
             self.state.note_outcome(outcome, usual_s=attempt.usual_s, now=time.monotonic())
@@ -139,6 +140,35 @@
     ]
 
 
+class TestSecondAttempt:
+    def run_with(self, waits_since):
+        """Run a request whose first server is silent, and return the attempts sent.
+
+        ``waits_since`` maps the instant at which an attempt was handed over to the one at which
+        this host has sent it, None for not at all.
+        """
+
+        def hangs_since(pool, attempt):
+            attempt.waits_since = waits_since(attempt.handed_at)
+
+        pools = {"board": pools_of("board", hangs_since, hangs_since)}
+        setting = Setting(route=route_of(), pools=pools)
+        setting.run.deadline = setting.run.attempt_deadline = time.monotonic() + 0.08
+        setting.run.run()
+        return setting.sent()
+
+    def test_a_silent_server_gets_one(self):
+        assert self.run_with(lambda handed_at: handed_at) == 2
+
+    def test_an_attempt_that_this_host_has_not_sent_gets_none(self):
+        """A fan-out of 36 shards on half a core: the last requests left the host after the time
+        for second attempts, and each got one, which cost the host still more time."""
+        assert self.run_with(lambda handed_at: None) == 1
+
+    def test_its_time_counts_from_when_the_first_one_was_sent(self):
+        assert self.run_with(lambda handed_at: handed_at + 0.07) == 1
+
+
 class TestFanOut:
     def test_a_lost_shard_does_not_hold_the_answer_past_the_target(self):
         shards = tuple("abcd")
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -112,9 +112,14 @@
         host = self.pool.host
         host.crossing += self.pool.server.zone != host.zone
         sent_at = host.use_cpu(host.limits.send_cpu_s)
+        host.clock.call_at(sent_at, self.leave_host)
         host.clock.call_at(sent_at + self.distance_s(), self.arrive)
         host.clock.call_at(self.attempt.deadline, self.time_out)
 
+    def leave_host(self) -> None:
+        """Note that the attempt waits for the server from now on."""
+        self.attempt.waits_since = self.pool.host.clock.now
+
     def arrive(self) -> None:
         """Hand the request to the server, if it is still wanted."""
         if not self.ended and not self.pool.emulated.accept(self.job):
@@ -159,7 +164,7 @@
             server=self.pool.server.id,
             end=end,
             ran=ran,
-            latency=now - self.attempt.handed_at,
+            latency=now - self.attempt.began_at,
             reply=REPLY if end is ExchangeEnd.ANSWERED else None,
         )
         self.pool.state.note_outcome(outcome, usual_s=self.attempt.usual_s, now=now)
