--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -57,6 +57,8 @@
         Moving mean of the ratio of reply times to the usual time.
     warm_at : float
         Instant from which the server is expected to be warm.
+    is_first_hand : bool
+        Whether the slowness comes from requests of this host, not from a report of another one.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "failed_at",
         "failures",
         "heard_at",
+        "is_first_hand",
         "outstanding",
         "server",
         "slowness",
@@ -76,6 +79,7 @@
         self.outstanding: dict[int, float] = {}
         self.slowness = 1.0
         self.heard_at = now
+        self.is_first_hand = False
         self.warm_at = now + server.warm_up_s
         self.failures = 0
         self.failed_at = float("-inf")
@@ -103,6 +107,7 @@
                 current = self.current_slowness(now)
                 self.slowness = current + SLOWNESS_WEIGHT * (ratio - current)
                 self.heard_at = now
+                self.is_first_hand = True
 
     def note_failure(self, end: ExchangeEnd, now: float) -> None:
         """Count a failure, and leave the server out for a growing time when they repeat."""
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -6,6 +6,7 @@
 
 from rhubarbway.decisions.crash_guard import LostServer
 from rhubarbway.decisions.fleet_view import FleetMember
+from rhubarbway.decisions.server_news import ServerReport
 from rhubarbway.model import StoreItem
 
 PATH = "/v1/feed"
@@ -39,6 +40,14 @@
     age_ms: int
 
 
+class WireReport(msgspec.Struct, array_like=True):
+    """A slow server, how slow it was, and how long ago."""
+
+    server: str
+    slowness: float
+    age_ms: int
+
+
 class FeedRequest(msgspec.Struct):
     """Asks for changes.
 
@@ -51,6 +60,7 @@
     after: int
     wait_ms: int
     losses: list[WireLoss] = []
+    reports: list[WireReport] = []
 
 
 class FeedReply(msgspec.Struct):
@@ -67,6 +77,7 @@
     items: list[WireItem]
     members: list[WireMember]
     losses: list[WireLoss] = []
+    reports: list[WireReport] = []
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -154,3 +165,15 @@
     """Return a loss as this host keeps it."""
     at = now - max(0, wire.age_ms) / 1000
     return LostServer(digest=wire.digest, service=wire.service, server=wire.server, at=at)
+
+
+def wire_report(report: ServerReport, *, now: float) -> WireReport:
+    """Return a report as it is sent."""
+    age_ms = max(0, round((now - report.at) * 1000))
+    return WireReport(server=report.server, slowness=round(report.slowness, 1), age_ms=age_ms)
+
+
+def report_of(wire: WireReport, *, now: float) -> ServerReport:
+    """Return a report as this host keeps it."""
+    at = now - max(0, wire.age_ms) / 1000
+    return ServerReport(server=wire.server, slowness=wire.slowness, at=at)
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -18,8 +18,9 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
-from rhubarbway.services.names import LOSSES, REGISTRY
+from rhubarbway.services.names import LOSSES, REGISTRY, SERVERS
 from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.servers import ServerService
 
 # Longest wait of a follower for the next change, seconds. It is also how often hosts hear of each
 # other.
@@ -54,6 +55,7 @@
         "registry",
         "seeds",
         "server",
+        "servers",
         "started_at",
         "stopping",
         "told_at",
@@ -78,6 +80,7 @@
         self.log = part_logger("fleet")
         self.losses: LossService
         self.registry: RegistryService
+        self.servers: ServerService
         self.server: HttpServer
         self.set_seeds(seeds)
 
@@ -89,6 +92,7 @@
         """Listen for followers, and start to follow."""
         self.losses = kernel.find(LOSSES)
         self.registry = kernel.find(REGISTRY)
+        self.servers = kernel.find(SERVERS)
         self.server = HttpServer(
             address=address_of(self.listen),
             app=self.respond,
@@ -177,6 +181,7 @@
             after=after,
             wait_ms=int(wait_s * 1000),
             losses=self.own_losses(),
+            reports=self.own_reports(),
         )
         reply = connection.exchange(
             "POST",
@@ -211,6 +216,7 @@
                 self.view.hear(feed_wire.member_of(wire, now=now))
         self.note_count()
         self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in reply.losses)
+        self.servers.take_reports(feed_wire.report_of(wire, now=now) for wire in reply.reports)
         items = [feed_wire.item_of(wire) for wire in reply.items]
         self.registry.take(
             items,
@@ -262,6 +268,11 @@
         now = time.monotonic()
         return [feed_wire.wire_loss(loss, now=now) for loss in self.losses.shared()]
 
+    def own_reports(self) -> list[feed_wire.WireReport]:
+        """Return what this host knows about slow servers."""
+        now = time.monotonic()
+        return [feed_wire.wire_report(report, now=now) for report in self.servers.reports()]
+
     def respond(self, request: Request) -> Response:
         """Answer a host that follows this one."""
         if request.path != feed_wire.PATH:
@@ -275,6 +286,7 @@
         with self.lock:
             self.view.hear(feed_wire.member_of(asked.sender, now=now))
         self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in asked.losses)
+        self.servers.take_reports(feed_wire.report_of(wire, now=now) for wire in asked.reports)
         self.note_count()
         known = asked.source == self.view.own.incarnation
         changes = self.registry.changes(
@@ -291,5 +303,6 @@
             items=[feed_wire.wire_item(item) for item in changes.items],
             members=members,
             losses=self.own_losses(),
+            reports=self.own_reports(),
         )
         return Response(feed_wire.encoded(reply), content_type="application/json")
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from rhubarbway.decisions.server_news import ServerReport, apply_report
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.edge.http_client import CallError, HttpConnection, Reply
 from rhubarbway.model import (
@@ -190,6 +191,11 @@
             self.connections += 1
         self.spawn(self.serve_connection, attempt)
 
+    def take_report(self, report: ServerReport) -> bool:
+        """Take in what another host tells of the server, and return whether it counts."""
+        with self.lock:
+            return apply_report(self.state, report, now=time.monotonic())
+
     def close(self) -> None:
         """End the idle connection tasks; the busy ones end after what they do."""
         with self.lock:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from rhubarbway.decisions.fleet_view import UNKNOWN_COUNT
+from rhubarbway.decisions.server_news import ServerNews, ServerReport, own_reports
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, ExchangeOutcome, RoutingTable
 from rhubarbway.services.log import part_logger
@@ -47,6 +49,7 @@
         "hosts",
         "lock",
         "log",
+        "news",
         "observers",
         "pools",
         "servers",
@@ -62,6 +65,8 @@
         self.connections: dict[str, int] = {}
         self.hosts = UNKNOWN_COUNT
         self.observers: list[Observer] = []
+        # What other hosts have told about slow servers.
+        self.news = ServerNews()
         self.lock = threading.Lock()
         self.executor = ThreadPoolExecutor(MAX_CONNECTION_TASKS, thread_name_prefix="server")
         self.log = part_logger("servers")
@@ -131,6 +136,27 @@
         for pool in gone:
             pool.close()
 
+    def reports(self) -> list[ServerReport]:
+        """Return what other hosts should know about slow servers."""
+        now = time.monotonic()
+        with self.lock:
+            pools = list(self.pools.values())
+            self.news.merge(own_reports((pool.state for pool in pools), now=now), now=now)
+            return self.news.recent(now=now)
+
+    def take_reports(self, reports: Iterable[ServerReport]) -> None:
+        """Take in what another host tells about slow servers."""
+        now = time.monotonic()
+        told = {report.server: report for report in reports}
+        if not told:
+            return
+        with self.lock:
+            self.news.merge(told.values(), now=now)
+            pools = [pool for pool in self.pools.values() if pool.server.id in told]
+        applied = [pool.server.id for pool in pools if pool.take_report(told[pool.server.id])]
+        if applied:
+            self.log.debug("Slow servers were reported.", servers=applied[:8])
+
     def new_pool(self, server: BackendServer) -> ServerPool:
         """Return the pool of a server that was not in use."""
         return ServerPool(
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
+from rhubarbway.decisions.server_news import ServerNews, apply_report, own_reports
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
 from rhubarbway_emulator.clock import VirtualClock
 from rhubarbway_emulator.hosts import EmulatedHost, HostLimits
@@ -15,6 +16,9 @@
 CALLER_S = 0.001
 # Answers of the first seconds are not counted: hosts have learnt nothing yet.
 WARM_UP_S = 2.0
+# How often hosts tell each other of slow servers, and how long that takes, seconds.
+REPORT_INTERVAL_S = 0.5
+REPORT_DELAY_S = 1.0
 
 
 class KindResult:
@@ -160,6 +164,7 @@
         for zone, count in enumerate(pattern.zones)
         for _ in range(count)
     ]
+    share_reports(clock, hosts, until_s=pattern.length_s)
     result = Result(kinds=pattern.kinds)
     routes = routes_of(pattern)
     for kind in pattern.kinds:
@@ -174,6 +179,27 @@
     return result
 
 
+def share_reports(clock: VirtualClock, hosts: Sequence[EmulatedHost], *, until_s: float) -> None:
+    """Let the hosts tell each other of slow servers, with the delay of a large fleet."""
+
+    def tell() -> None:
+        told = ServerNews()
+        for host in hosts:
+            told.merge(own_reports(host.states(), now=clock.now), now=clock.now)
+        clock.call_at(clock.now + REPORT_DELAY_S, lambda: apply(told))
+        if clock.now < until_s:
+            clock.call_at(clock.now + REPORT_INTERVAL_S, tell)
+
+    def apply(told: ServerNews) -> None:
+        reports = {report.server: report for report in told.recent(now=clock.now)}
+        for host in hosts if reports else ():
+            for state in host.states():
+                if state.server.id in reports:
+                    apply_report(state, reports[state.server.id], now=clock.now)
+
+    clock.call_at(REPORT_INTERVAL_S, tell)
+
+
 def caller(*, host: EmulatedHost, kind: Kind, route: Route, result: Result) -> Callable[[], None]:
     """Return the task of one caller with one request."""
     clock = host.clock
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -251,6 +251,10 @@
             clock=clock.time,
         )
 
+    def states(self) -> list[ServerState]:
+        """Return what the host has learnt about each server."""
+        return [pool.state for pools in self.pools.values() for pool in pools]
+
     def use_cpu(self, seconds: float) -> float:
         """Take the processor for some time and return when that work is done."""
         self.cpu_free_at = max(self.cpu_free_at, self.clock.now) + seconds
