Soak gateways with random faults from outside, and wait for signals without a limit

The soak runs gateways as processes over the stand-ins, with a proxy on each path to the store and to the servers. A seed gives the faults (18 kinds, in series and overlapping); callers keep their connections; eight promises are checked every 2 s and at the end, and each is shown to fail on evidence that breaks it. rhubarbway-soak runs seeds and draws what callers saw.

First finding, seeds 100 (8 s) and 108 (12 s): a host that was stopped by SIGSTOP ended when it was resumed. Now a task looks at the settings file, and the main thread waits with sigwait.

--- a/proofs/test_gateway_processes.py
+++ b/proofs/test_gateway_processes.py
@@ -85,6 +85,23 @@
         assert reply.status == 200
 
 
+class TestPause:
+    def test_a_paused_process_goes_on_when_it_is_resumed(self, gateways):
+        """Soak, seed 100: the time limit of the wait for signals passed while the process was
+        stopped, and it took that for a signal to end."""
+        process = gateways.processes[0]
+        for _ in range(3):
+            process.send(signal.SIGHUP)
+            time.sleep(0.2)
+            process.send(signal.SIGSTOP)
+            time.sleep(1.5)
+            process.send(signal.SIGCONT)
+            time.sleep(0.3)
+            assert process.is_running
+        reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}1")
+        assert reply.status == 200
+
+
 class TestSettings:
     @pytest.mark.parametrize(
         ("text", "problem"),
--- /dev/null
+++ b/proofs/test_soak.py
@@ -0,0 +1,21 @@
+"""A short seeded soak: gateways as processes, faults from outside, promises checked meanwhile."""
+
+import pytest
+
+from rhubarbway_standins.soak.run import soak
+
+SECONDS = 8.0
+HOSTS = 3
+# Seeds with the reason to keep each; one that has ever failed is kept with its cause.
+SEEDS = {
+    1: "pauses, a silent store and servers that are cut off overlap",
+    100: "a paused host ended when it was resumed: sigtimedwait returned a signal that never came",
+}
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_promise_is_broken(self, seed):
+        result = soak(seed=seed, length_s=SECONDS, hosts=HOSTS)
+        assert result.problems == []
+        assert result.asks
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -35,6 +35,7 @@
     REGISTRY,
     ROUTING,
     SERVERS,
+    SETTINGS,
 )
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
@@ -49,8 +50,6 @@
 SWITCH_INTERVAL_S = 0.1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNALS = (signal.SIGHUP,)
-# The platform may change the settings file without a signal; a look at the file is one system call.
-SETTINGS_CHECK_S = 1.0
 
 
 def kernel_of(settings: GatewaySettings) -> Kernel:
@@ -115,6 +114,7 @@
     settings = result.unwrap()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     kernel = kernel_of(settings)
+    kernel.register(SETTINGS, SettingsReload(path=path, in_force=settings))
     try:
         kernel.start()
     except Exception:
@@ -124,13 +124,10 @@
         os._exit(1)
     log = part_logger("gateway")
     log.info("Started.", host=settings.name, zone=settings.zone)
-    reload = SettingsReload(path=path, in_force=settings, kernel=kernel)
-    wanted = (*STOP_SIGNALS, *RELOAD_SIGNALS)
-    while True:
-        received = signal.sigtimedwait(wanted, SETTINGS_CHECK_S)
-        if received is not None and received.si_signo in STOP_SIGNALS:
-            break
-        reload.check(signalled=received is not None)
+    # ``sigwait`` has no time limit: CPython 3.11 returns a signal that never came when the limit of
+    # ``sigtimedwait`` passes while the process is stopped.
+    while signal.sigwait((*STOP_SIGNALS, *RELOAD_SIGNALS)) in RELOAD_SIGNALS:
+        kernel.find(SETTINGS).request()
     kernel.stop()
     log.info("Stopped.", host=settings.name)
     # Connection tasks that wait for a server would hold the interpreter until their time limit.
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -24,6 +24,7 @@
     from rhubarbway.services.registry import RegistryService
     from rhubarbway.services.routing import RoutingService
     from rhubarbway.services.servers import ServerService
+    from rhubarbway.services.settings_reload import SettingsReload
     from rhubarbway.services.slices import SliceService
     from rhubarbway.services.tokens import TokenService
 
@@ -46,3 +47,4 @@
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
 METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
 LOSSES: ServiceKey[LossService] = ServiceKey("losses")
+SETTINGS: ServiceKey[SettingsReload] = ServiceKey("settings")
--- a/src/rhubarbway/services/settings_reload.py
+++ b/src/rhubarbway/services/settings_reload.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import queue
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from returns.result import Success
@@ -34,6 +36,9 @@
     gateway.grace_s = settings.grace_s
 
 
+# The platform may change the settings file without a signal; a look at the file is one system call.
+CHECK_INTERVAL_S = 1.0
+
 # Settings that come into force while the process runs. Any other one needs a new process.
 LIVE_SETTINGS: dict[str, Callable[[Kernel, GatewaySettings], None]] = {
     "seeds": apply_seeds,
@@ -54,18 +59,45 @@
         The file.
     in_force : GatewaySettings
         Settings that the kernel was built from.
-    kernel : Kernel
-        The running services.
     """
 
-    __slots__ = ("in_force", "kernel", "log", "path", "seen")
+    __slots__ = ("executor", "in_force", "kernel", "log", "path", "requests", "seen")
 
-    def __init__(self, *, path: Path, in_force: GatewaySettings, kernel: Kernel) -> None:
+    def __init__(self, *, path: Path, in_force: GatewaySettings) -> None:
         self.path = path
         self.in_force = in_force
-        self.kernel = kernel
         self.log = part_logger("settings")
         self.seen = self.stamp()
+        # One entry for each signal; False ends the task.
+        self.requests: queue.SimpleQueue[bool] = queue.SimpleQueue()
+        self.executor = ThreadPoolExecutor(1, thread_name_prefix="settings")
+        self.kernel: Kernel
+
+    def start(self, kernel: Kernel) -> None:
+        """Start the task that looks at the file."""
+        self.kernel = kernel
+        self.executor.submit(self.watch)
+
+    def stop(self) -> None:
+        """End the task."""
+        self.requests.put(False)
+        self.executor.shutdown(wait=True)
+
+    def request(self) -> None:
+        """Have the file read again, whether it seems to have changed or not."""
+        self.requests.put(True)
+
+    def watch(self) -> None:
+        """Task: look at the file at intervals and on request."""
+        while True:
+            try:
+                is_requested = self.requests.get(timeout=CHECK_INTERVAL_S)
+            except queue.Empty:
+                self.check(signalled=False)
+                continue
+            if not is_requested:
+                return
+            self.check(signalled=True)
 
     def stamp(self) -> tuple[int, int, int] | None:
         """Return what changes with the content of the file, or None if it cannot be read."""
--- a/src/rhubarbway/services/tests/test_settings_reload.py
+++ b/src/rhubarbway/services/tests/test_settings_reload.py
@@ -25,7 +25,10 @@
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(FIRST))
     settings = GatewaySettings(**FIRST)
-    return SettingsReload(path=path, in_force=settings, kernel=kernel_of(settings))
+    made = SettingsReload(path=path, in_force=settings)
+    made.start(kernel_of(settings))
+    yield made
+    made.stop()
 
 
 def change(reload, **fields):
@@ -61,6 +64,15 @@
         assert reload.in_force.store == FIRST["store"]
 
 
+class TestTask:
+    def test_a_request_has_the_file_read_at_once(self, reload):
+        change(reload, grace_s=9.0)
+        reload.request()
+        reload.requests.put(False)
+        reload.executor.shutdown(wait=True)
+        assert reload.kernel.find(GATEWAY).grace_s == 9.0
+
+
 class TestBudget:
     def test_a_host_that_starts_takes_only_a_part_of_the_retry_allowance(self, reload):
         """Read in the code: until its first exchange a host took the whole allowance for its own,
--- /dev/null
+++ b/src/rhubarbway_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of gateways as real processes, with faults injected from outside."""
--- /dev/null
+++ b/src/rhubarbway_standins/soak/main.py
@@ -0,0 +1,53 @@
+"""Command ``rhubarbway-soak``: plays seeds and reports which promises were broken."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from rhubarbway_standins.soak.report import write_report
+from rhubarbway_standins.soak.run import soak
+
+app = typer.Typer(add_completion=False, help=__doc__)
+
+
+@app.command()
+def run(
+    first_seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 1,
+    seeds: Annotated[int, typer.Option(min=1, help="Runs, each with the next seed.")] = 1,
+    seconds: Annotated[float, typer.Option(min=4.0, help="Length of a run.")] = 15.0,
+    hosts: Annotated[int, typer.Option(min=1, help="Entry hosts.")] = 3,
+    report: Annotated[Path | None, typer.Option(help="Folder for a picture of each run.")] = None,
+) -> None:
+    """Run the soak; the exit code is 1 if a promise was broken."""
+    failed = 0
+    for seed in range(first_seed, first_seed + seeds):
+        typer.echo(f"seed {seed}: started")
+        result = soak(
+            seed=seed,
+            length_s=seconds,
+            hosts=hosts,
+            progress=lambda line, seed=seed: typer.echo(f"seed {seed}: {line}"),
+        )
+        typer.echo(
+            f"seed {seed}: {len(result.faults)} faults, {len(result.asks)} requests, "
+            f"{result.served_share:.3f} served, {len(result.problems)} problems"
+        )
+        for problem in result.problems:
+            typer.echo(f"  {problem}")
+        if report is not None:
+            report.mkdir(parents=True, exist_ok=True)
+            write_report(result, report / f"soak-{seed}.png")
+        failed += bool(result.problems)
+    raise typer.Exit(code=min(failed, 1))
+
+
+def main() -> None:
+    """Run the command."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
