Pass new reports of slow servers on at once

Hosts that wait for changes are answered when a server is reported that was not known as slow, at most each 0.3 s; before, news waited for the end of the long poll on each hop.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -342,3 +342,24 @@
                 sock.recv(1000)
             sock.close()
         assert searched(fleet, "m1")[1] is None
+
+
+class TestSlowServers:
+    def test_hosts_hear_of_a_slow_server_from_each_other(self):
+        """Guards against a large fleet in which each host meets a slow server by itself."""
+        with GatewayFleet(hosts=3) as fleet:
+            servers = [kernel.find(SERVERS) for kernel in fleet.kernels]
+            pool = servers[0].by_service["desk-0"][0]
+            others = [found for found in servers[0].pools.values() if found is not pool]
+            now = time.monotonic()
+            for known in [pool, *others]:
+                known.state.is_first_hand = True
+                known.state.heard_at = now
+                known.state.slowness = 1.0
+            pool.state.slowness = 9.0
+
+            def slowness(number):
+                found = servers[number].pools[pool.server.incarnation]
+                return found.state.current_slowness(time.monotonic())
+
+            wait_until(lambda: slowness(1) > 2.0 and slowness(2) > 2.0, timeout_s=3.0)
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -216,7 +216,7 @@
                 self.view.hear(feed_wire.member_of(wire, now=now))
         self.note_count()
         self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in reply.losses)
-        self.servers.take_reports(feed_wire.report_of(wire, now=now) for wire in reply.reports)
+        self.take_reports(reply.reports)
         items = [feed_wire.item_of(wire) for wire in reply.items]
         self.registry.take(
             items,
@@ -273,6 +273,12 @@
         now = time.monotonic()
         return [feed_wire.wire_report(report, now=now) for report in self.servers.reports()]
 
+    def take_reports(self, wires: Iterable[feed_wire.WireReport]) -> None:
+        """Take in reports of slow servers, and pass new ones on at once."""
+        now = time.monotonic()
+        if self.servers.take_reports(feed_wire.report_of(wire, now=now) for wire in wires):
+            self.registry.wake_followers()
+
     def respond(self, request: Request) -> Response:
         """Answer a host that follows this one."""
         if request.path != feed_wire.PATH:
@@ -286,7 +292,7 @@
         with self.lock:
             self.view.hear(feed_wire.member_of(asked.sender, now=now))
         self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in asked.losses)
-        self.servers.take_reports(feed_wire.report_of(wire, now=now) for wire in asked.reports)
+        self.take_reports(asked.reports)
         self.note_count()
         known = asked.source == self.view.own.incarnation
         changes = self.registry.changes(
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -48,6 +48,8 @@
 RETRY_LONGEST_S = 1.0
 # How often a host looks whether it has become a reader, seconds.
 ROLE_CHECK_S = 0.1
+# Hosts that wait for changes are answered for other news at most this often, seconds.
+WAKE_INTERVAL_S = 0.3
 
 
 class Changes:
@@ -101,6 +103,7 @@
         "settled_at",
         "stopping",
         "view",
+        "woken_at",
     )
 
     def __init__(self, *, make_client: Callable[[], StoreClient]) -> None:
@@ -113,6 +116,8 @@
         self.contact_at = float("-inf")
         # Whether hosts that follow this one get their answer without waiting for a change.
         self.released = False
+        # When waiting hosts were last answered without a change.
+        self.woken_at = float("-inf")
         self.reachable = True
         # Deletions seen just after an outage of the store, and when they are believed.
         self.held_back: dict[str, StoreItem] = {}
@@ -288,6 +293,15 @@
             self.released = True
             self.changed.notify_all()
 
+    def wake_followers(self) -> None:
+        """Answer the hosts that wait for changes now, because there is other news for them."""
+        with self.changed:
+            now = time.monotonic()
+            if now < self.woken_at + WAKE_INTERVAL_S:
+                return
+            self.woken_at = now
+            self.changed.notify_all()
+
     def put_into_force(self, news: Sequence[StoreItem], source: str) -> None:
         """Pass changes on to the routing table and the servers."""
         changed: list[BackendServer] = []
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -144,18 +144,20 @@
             self.news.merge(own_reports((pool.state for pool in pools), now=now), now=now)
             return self.news.recent(now=now)
 
-    def take_reports(self, reports: Iterable[ServerReport]) -> None:
-        """Take in what another host tells about slow servers."""
+    def take_reports(self, reports: Iterable[ServerReport]) -> bool:
+        """Take in what another host tells about slow servers; return whether one is new."""
         now = time.monotonic()
         told = {report.server: report for report in reports}
         if not told:
-            return
+            return False
         with self.lock:
+            known = {report.server for report in self.news.recent(now=now)}
             self.news.merge(told.values(), now=now)
             pools = [pool for pool in self.pools.values() if pool.server.id in told]
         applied = [pool.server.id for pool in pools if pool.take_report(told[pool.server.id])]
         if applied:
             self.log.debug("Slow servers were reported.", servers=applied[:8])
+        return bool(told.keys() - known)
 
     def new_pool(self, server: BackendServer) -> ServerPool:
         """Return the pool of a server that was not in use."""
