Read the store soon when a host starts again

Change: when the system does not start for the first time, a host without a copy reads the store itself after 0.05 to 0.15 s. A host whose seeds run has its copy earlier and does not. The new test failed before. The decoding of a followed host's reply no longer ends the task if a value cannot be read.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -10,6 +10,7 @@
 
 from proofs.gateway_fleet import GatewayFleet, wait_until
 from rhubarbway.decisions.fleet_view import STORE_READERS
+from rhubarbway.gateway import kernel_of
 from rhubarbway.services import registry
 from rhubarbway.services.gateway import GRACE_SHARE
 from rhubarbway.services.names import FLEET, FORWARDING, REGISTRY, SERVERS
@@ -309,6 +310,19 @@
             budgets = [kernel.find(FORWARDING).budget.budget for kernel in fleet.kernels]
             wait_until(lambda: [budget.hosts for budget in budgets] == [3, 3, 3])
 
+    def test_a_host_that_starts_again_does_not_wait_for_silent_seeds(self):
+        """inc-4c52 of tinta: all hosts had lost power; one that was back at 35.5 s had its
+        configuration at 36.2 s, since it waited for seeds that were starting too."""
+        with socket.create_server(("127.0.0.1", 0)) as silent, GatewayFleet(hosts=0) as fleet:
+            seed = f"127.0.0.1:{silent.getsockname()[1]}"
+            settings = fleet.site.settings("g", zone="north", seeds=[seed])
+            kernel = kernel_of(settings)
+            began = time.monotonic()
+            kernel.start()
+            fleet.kernels.append(kernel)
+            wait_until(lambda: fleet.is_informed(kernel))
+            assert time.monotonic() - began < 0.5
+
     def test_a_version_reaches_hosts_that_the_store_turns_away(self):
         with GatewayFleet(hosts=3) as fleet:
             fleet.site.store.set_mode(StoreMode.REFUSING)
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -71,7 +71,12 @@
     kernel.register(
         REGISTRY, RegistryService(make_client=lambda: StoreClient(address=settings.store))
     )
-    fleet = FleetService(listen=settings.peer_listen, zone=settings.zone, seeds=settings.seeds)
+    fleet = FleetService(
+        listen=settings.peer_listen,
+        zone=settings.zone,
+        seeds=settings.seeds,
+        is_first_start=settings.first_start,
+    )
     kernel.register(FLEET, fleet)
     fleet.listeners += [
         servers.note_hosts,
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from random import Random
 
 from werkzeug.wrappers import Request, Response
 
@@ -34,10 +35,13 @@
 PAUSE_S = 0.3
 # Hosts that each host follows.
 FOLLOWED = 2
-# A host that starts asks its seeds for this long before it reads the store itself, seconds; less if
-# they refuse.
+# A host of a system that starts for the first time asks its seeds for this long before it reads the
+# store itself, seconds; less if they refuse. No caller waits for it yet.
 START_WAIT_S = 0.7
 START_FAILURES = 2
+# A host that starts again, when callers wait, has its copy from another host within milliseconds,
+# or reads the store after this time, seconds. Hosts that start together spread by half of it.
+RESTART_WAIT_S = 0.1
 MAX_FOLLOWERS = 64
 
 
@@ -52,23 +56,26 @@
         "lock",
         "log",
         "losses",
+        "read_at",
         "registry",
         "seeds",
         "server",
         "servers",
-        "started_at",
         "stopping",
         "told_at",
         "view",
     )
 
-    def __init__(self, *, listen: str, zone: str, seeds: list[str]) -> None:
+    def __init__(
+        self, *, listen: str, zone: str, seeds: list[str], is_first_start: bool = False
+    ) -> None:
         self.listen = listen
         self.seeds: list[str] = []
         now = time.monotonic()
         own = FleetMember(address=listen, zone=zone, incarnation=secrets.token_hex(8), heard_at=now)
         self.view = FleetView(own=own)
-        self.started_at = now
+        spread = 0.5 + Random().random()
+        self.read_at = now + (START_WAIT_S if is_first_start else RESTART_WAIT_S * spread)
         # When each follower was told of the other hosts, and how many there were.
         self.told_at: dict[str, tuple[float, int]] = {}
         # Exchanges that failed.
@@ -114,11 +121,13 @@
         """Tell the others that this host is about to stop."""
         self.view.own.leaving = True
 
-    def is_reader(self) -> bool:
-        """Whether this host reads the store for the others."""
+    def is_reader(self, *, has_copy: bool) -> bool:
+        """Whether this host reads the store, for the others or because it has no copy yet."""
         now = time.monotonic()
         with self.lock:
-            asking = self.failures < START_FAILURES and now < self.started_at + START_WAIT_S
+            if not has_copy and now >= self.read_at:
+                return True
+            asking = self.failures < START_FAILURES and now < self.read_at
             if self.seeds and not self.view.heard_any and asking:
                 return False
             return self.listen in self.view.readers(now=now)
@@ -153,6 +162,7 @@
                 source, after = "", 0
             try:
                 reply = self.exchange(connection, source=source, after=after)
+                self.take(reply)
             except (CallError, feed_wire.BadFeed) as error:
                 self.note_loss(address, error)
                 connection.disconnect()
@@ -160,7 +170,6 @@
                 self.ask_seed(seed_turn)
                 self.stopping.wait(PAUSE_S)
                 continue
-            self.take(reply)
             source, after = reply.sender.incarnation, reply.after
 
     def exchange(
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -48,6 +48,8 @@
 RETRY_LONGEST_S = 1.0
 # How often a host looks whether it has become a reader, seconds.
 ROLE_CHECK_S = 0.1
+# The same while it has no copy, and callers may wait for it.
+START_CHECK_S = 0.02
 # Hosts that wait for changes are answered for other news at most this often, seconds.
 WAKE_INTERVAL_S = 0.3
 
@@ -148,8 +150,8 @@
         pause_s = RETRY_FIRST_S
         history_gone = False
         while not self.stopping.is_set():
-            if not self.fleet.is_reader():
-                self.stopping.wait(ROLE_CHECK_S)
+            if not self.fleet.is_reader(has_copy=self.complete):
+                self.stopping.wait(ROLE_CHECK_S if self.complete else START_CHECK_S)
                 continue
             try:
                 if not self.complete or history_gone:
--- a/src/rhubarbway/settings/gateway.py
+++ b/src/rhubarbway/settings/gateway.py
@@ -27,6 +27,8 @@
         ``peer_listen`` of some entry hosts; they may be down.
     store : str
         ``IP:PORT`` of the platform's store.
+    first_start : bool
+        Whether the whole system starts for the first time, so that no caller waits yet.
     metrics_port : int
         Port of the metrics, on the address of ``listen``; 0 serves none.
     leave_notice_s : float
@@ -44,6 +46,7 @@
     """
 
     __slots__ = (
+        "first_start",
         "grace_s",
         "leave_notice_s",
         "listen",
@@ -71,6 +74,7 @@
         peer_listen: str,
         store: str,
         seeds: Iterable[str] = (),
+        first_start: bool = False,
         metrics_port: int = 0,
         leave_notice_s: float = 2.3,
         grace_s: float = 6.0,
@@ -87,6 +91,7 @@
         self.peer_listen = peer_listen
         self.store = store
         self.seeds = list(seeds)
+        self.first_start = first_start
         self.metrics_port = metrics_port
         self.leave_notice_s = leave_notice_s
         self.grace_s = grace_s
