--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -259,17 +259,8 @@
         CallError
             If no whole response arrived.
         """
+        self.begin_call()
         curl = self.curl
-        with self.lock:
-            self.call_number += 1
-            self.may_open = not self.is_open
-            if self.may_open:
-                self.shut_down()
-            if self.aborted_call == self.call_number:
-                raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
-        self.sink = io.BytesIO()
-        self.head.seek(0)
-        self.head.truncate()
         curl.setopt(pycurl.REQUEST_TARGET, target)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         connect_s = timeout_s if connect_timeout_s is None else min(connect_timeout_s, timeout_s)
@@ -280,8 +271,37 @@
             curl.perform()
         except pycurl.error as error:
             raise self.call_error(error) from None
+        return self.received_reply(method)
+
+    def begin_call(self) -> None:
+        """Count a call, and let it open a connection if there is no usable one.
+
+        Raises
+        ------
+        CallError
+            If the call was aborted before it began.
+        """
+        with self.lock:
+            self.call_number += 1
+            self.may_open = not self.is_open
+            if self.may_open:
+                self.shut_down()
+            if self.aborted_call == self.call_number:
+                raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
+        self.sink = io.BytesIO()
+        self.head.seek(0)
+        self.head.truncate()
+
+    def received_reply(self, method: str) -> Reply:
+        """Return the response of the call that has just ended.
+
+        Raises
+        ------
+        CallError
+            If the head ended early.
+        """
         reply = Reply(
-            status=curl.getinfo(pycurl.RESPONSE_CODE),
+            status=self.curl.getinfo(pycurl.RESPONSE_CODE),
             body=self.sink.getvalue(),
             headers=tuple(header_pairs(self.head.getvalue())),
         )
