--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -306,18 +306,18 @@
 
     def put_into_force(self, news: Sequence[StoreItem], source: str) -> None:
         """Pass changes on to the routing table and the servers."""
-        changed: list[BackendServer] = []
-        removed: list[str] = []
+        # By id; the last change of a server counts, since a write and the deletion that follows it
+        # may arrive together.
+        servers: dict[str, BackendServer | None] = {}
         for item in news:
             if item.key == CONFIGURATION_KEY:
                 self.offer_configuration(item, source)
             elif item.key.startswith(ENTRY_PREFIX):
                 server = self.decoded_server(item) if item.value is not None else None
-                if server is not None:
-                    changed.append(server)
-                else:
-                    removed.append(item.key.removeprefix(ENTRY_PREFIX))
-        if removed or changed:
+                servers[item.key.removeprefix(ENTRY_PREFIX)] = server
+        if servers:
+            changed = [server for server in servers.values() if server is not None]
+            removed = [server_id for server_id, server in servers.items() if server is None]
             self.servers.update(changed, removed)
 
     def offer_configuration(self, item: StoreItem, source: str) -> None:
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -14,9 +14,12 @@
 
     def __init__(self):
         self.removed = []
+        self.in_use = set()
 
     def update(self, changed, removed):
         self.removed += removed
+        self.in_use -= set(removed)
+        self.in_use |= {server.id for server in changed}
 
     def offer(self, table, *, source):
         return True
@@ -65,6 +68,20 @@
         setting.tell([deletion(1), deletion(2)], revision=200)
         assert len(setting.recorder.removed) == 2
 
+    def test_a_write_and_the_deletion_that_follows_it_arrive_together(self):
+        """Hunt on sn, hunt-8b2a-19, DRAIN: a reader of the store took the write of an entry for
+        newer than the deletion in the same answer, and kept the server for good."""
+        setting = Setting()
+        written = StoreItem(key="servers/i-5", value=entry(5).value, revision=200)
+        setting.tell([written, deletion(5, revision=201)], revision=201)
+        assert "i-5" not in setting.recorder.in_use
+
+    def test_an_entry_that_is_written_again_at_once_is_used(self):
+        setting = Setting()
+        written = StoreItem(key="servers/i-5", value=entry(5).value, revision=201)
+        setting.tell([deletion(5, revision=200), written], revision=201)
+        assert "i-5" in setting.recorder.in_use
+
     def test_an_old_index_that_leaves_unannounced_is_believed(self):
         """Hunt on tinta, hunt-30b1-27: a server got a request 3.2 s after its entry had gone,
         since 11 of 75 entries that vanished together were taken for lapsed ones."""
