--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -10,6 +10,8 @@
 SEEDS = {
     1: "pauses, a silent store and servers that are cut off overlap",
     100: "a paused host ended when it was resumed: sigtimedwait returned a signal that never came",
+    # Overlapping faults of one host started its process twice; a fault of the soak itself.
+    136: "a host that is stopped and killed at the same time",
 }
 
 
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -25,7 +25,7 @@
 def host_kill(stage: SoakStage, target: int) -> End:
     """Kill a host; it is started again."""
     stage.gateways.processes[target].kill()
-    return stage.gateways.processes[target].start
+    return lambda: stage.restart(target)
 
 
 def host_stop(stage: SoakStage, target: int) -> End:
@@ -35,7 +35,7 @@
 
     def restart() -> None:
         stage.note_exit(target, process.stop())
-        process.start()
+        stage.restart(target)
 
     return restart
 
--- a/src/rhubarbway_standins/soak/stage.py
+++ b/src/rhubarbway_standins/soak/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from pathlib import Path
 
@@ -43,11 +44,13 @@
         "proxy",
         "published_at",
         "site",
+        "starting",
     )
 
     def __init__(self, *, directory: Path, hosts: int, shards: int) -> None:
         self.ports = free_ports()
         self.site = Site(ports=self.ports, shards=shards)
+        self.starting = threading.Lock()
         self.drains: list[Drain] = []
         self.published_at: dict[int, float] = {}
         self.exits: list[tuple[int, int]] = []
@@ -107,6 +110,13 @@
         """Path that only the newest version has."""
         return f"/marker-{self.site.version}/"
 
+    def restart(self, host: int) -> None:
+        """Start the process of a host, unless another fault that has ended did so already."""
+        with self.starting:
+            process = self.gateways.processes[host]
+            if not process.is_running:
+                process.start()
+
     def note_exit(self, host: int, code: int) -> None:
         """Record how a process that was asked to stop has ended."""
         self.exits.append((host, code))
