Keep deleted servers out of copies that hosts pass on

Cause: a model checker over the copies of the store found two faults. A host that had listed the store took an older statement of a host that lagged for new, since it had no memory of the deletion. And a follower of a host that had started before it could keep a deleted server for good: the changes of a copy that becomes complete never mention what was deleted before, but carry the revision up to which the follower then believes to be complete.

Change: what a copy lacks at its revision is not new up to that revision. A copy that becomes complete begins its changes anew, and whoever has heard less gets the whole of it.

Without either rule the checker finds the fault again (TestChecker).

--- /dev/null
+++ b/proofs/test_store_copy_model.py
@@ -0,0 +1,41 @@
+"""Proof by exhaustion: the copies of the store that hosts pass on, in all orders of a few steps."""
+
+import pytest
+
+from proofs import store_copy_model
+from proofs.store_copy_model import SERVER_LEAVES, Violation, explore
+from rhubarbway.decisions.store_view import StoreView
+
+
+class TestAllOrders:
+    def test_two_hosts_and_four_changes(self):
+        """Guards against a deleted server that stays in use, and a configuration that goes back."""
+        assert explore(hosts=2, restarts=0) > 10_000
+
+    def test_a_host_that_starts_again(self, monkeypatch):
+        monkeypatch.setattr(store_copy_model, "HISTORY", SERVER_LEAVES)
+        assert explore(hosts=2, restarts=1) > 10_000
+
+
+class TestChecker:
+    """Each rule is needed: without it the checker finds the fault that it guards against."""
+
+    def test_followers_of_a_copy_that_becomes_complete_need_all_of_it(self, monkeypatch):
+        monkeypatch.setattr(StoreView, "mark_complete", lambda self: None)
+        with pytest.raises(Violation, match="held though it was deleted"):
+            explore(hosts=2, restarts=0)
+
+    def test_deletions_are_remembered(self, monkeypatch):
+        apply_one = StoreView.apply_one
+
+        def forgetful(view, item):
+            view.revision, kept = 0, view.revision
+            try:
+                return apply_one(view, item)
+            finally:
+                view.revision = kept
+                view.deletions.clear()
+
+        monkeypatch.setattr(StoreView, "apply_one", forgetful)
+        with pytest.raises(Violation, match="held though it was deleted"):
+            explore(hosts=2, restarts=0)
--- a/src/rhubarbway/decisions/store_view.py
+++ b/src/rhubarbway/decisions/store_view.py
@@ -27,6 +27,8 @@
         The copy holds all changes up to this revision of the store.
     sequence : int
         Number of the newest change of this copy.
+    first : int
+        Number from which the changes tell all: hosts that have heard less need the whole copy.
 
     Examples
     --------
@@ -40,7 +42,7 @@
     [b'1']
     """
 
-    __slots__ = ("deletions", "items", "log", "revision", "sequence")
+    __slots__ = ("deletions", "first", "items", "log", "revision", "sequence")
 
     def __init__(self) -> None:
         self.items: dict[str, StoreItem] = {}
@@ -50,6 +52,16 @@
         self.log: deque[tuple[int, str]] = deque(maxlen=LOG_LIMIT)
         self.revision = 0
         self.sequence = 0
+        self.first = 0
+
+    def mark_complete(self) -> None:
+        """Record that the copy has become complete.
+
+        Hosts that followed it before may hold keys that were deleted before this copy began, and
+        that its changes never mention.
+        """
+        self.sequence += 1
+        self.first = self.sequence
 
     def apply(self, items: Iterable[StoreItem], *, revision: int) -> list[StoreItem]:
         """Take in changes and return those that were news."""
@@ -78,7 +90,9 @@
                 item.value is None and item.revision == known.revision
             )
         else:
-            is_news = item.value is not None and item.revision > self.deletions.get(item.key, 0)
+            # A key that the copy lacks at its revision has been deleted by then.
+            deleted_at = max(self.deletions.get(item.key, 0), self.revision)
+            is_news = item.value is not None and item.revision > deleted_at
         if not is_news:
             if known is None and item.value is None:
                 # An older statement about the key may still come from a host that lags.
@@ -103,7 +117,7 @@
 
     def since(self, sequence: int) -> list[StoreItem] | None:
         """Return the last change of each key after a number, or None if some are forgotten."""
-        if sequence > self.sequence:
+        if not self.first <= sequence <= self.sequence:
             return None
         if sequence == self.sequence:
             return []
--- a/src/rhubarbway/decisions/tests/test_store_view.py
+++ b/src/rhubarbway/decisions/tests/test_store_view.py
@@ -92,3 +92,22 @@
         view.apply([StoreItem(key="servers/a", value=None, revision=32)], revision=32)
         found = [(item.key, item.value) for item in view.since(0)]
         assert found == [("op/config", b"29"), ("servers/a", None)]
+
+
+class TestOlderStatements:
+    def test_a_complete_copy_takes_no_older_key_that_it_lacks(self):
+        """Guards against a deleted server that a host which lags brings back."""
+        view = StoreView()
+        view.replace_all([StoreItem(key="a", value=b"1", revision=1)], revision=5)
+        assert view.apply([StoreItem(key="b", value=b"1", revision=4)], revision=0) == []
+        assert view.apply([StoreItem(key="b", value=b"2", revision=6)], revision=0)
+
+    def test_who_heard_a_copy_before_it_was_complete_gets_all_of_it(self):
+        """Guards against a key that was deleted before the copy began, and is never mentioned."""
+        view = StoreView()
+        heard = view.sequence
+        view.replace_all([StoreItem(key="a", value=b"1", revision=1)], revision=5)
+        partly = view.sequence
+        view.mark_complete()
+        assert view.since(heard) is None and view.since(partly) is None
+        assert view.since(view.sequence) == []
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -220,11 +220,14 @@
         with self.changed:
             apply = self.view.replace_all if whole else self.view.apply
             news = apply(items, revision=revision if complete else 0)
-            if complete and not self.complete:
+            becomes_complete = complete and not self.complete
+            if becomes_complete:
                 self.complete = True
+                self.view.mark_complete()
                 self.log.info("Copy of the store is complete.", source=source)
             if news:
                 self.put_into_force(news, source)
+            if news or becomes_complete:
                 self.changed.notify_all()
 
     def take_from_store(self, items: Sequence[StoreItem], *, revision: int, whole: bool) -> None:
