--- a/src/rhubarbway/edge/tests/test_http_client.py
+++ b/src/rhubarbway/edge/tests/test_http_client.py
@@ -261,3 +261,17 @@
             setting.client.open(timeout_s=TIMEOUT_S)
         assert raised.value.connecting and not raised.value.sent
         assert setting.client.sock is None
+
+
+class TestRequestBytes:
+    @pytest.mark.parametrize("line", ["A: 1\r\nB: 2", "A: 1\nB: 2", "A: \u20ac"])
+    def test_a_header_that_cannot_be_written_is_not_sent(self, line):
+        """Guards against a value that adds a header of its own, or ends the connection task."""
+        server = Server()
+        client = ExchangeConnection(address="{}:{}".format(*server.server.address))
+        with pytest.raises(CallError) as raised:
+            client.exchange("GET", "/", headers=["Host: h", line], body=b"", timeout_s=TIMEOUT_S)
+        assert not raised.value.sent
+        assert server.received == []
+        client.disconnect()
+        server.server.stop(grace_s=0.1)
