Let the listener of a test take over a port as free_ports does

A run with such a connection shows it: the probe passes, the bind fails, the listener of the mended test passes.

--- a/src/rhubarbway/edge/tests/test_http_client.py
+++ b/src/rhubarbway/edge/tests/test_http_client.py
@@ -118,9 +118,8 @@
         assert setting.server.received == [b"first"]
 
     def test_connection_that_is_never_accepted_is_not_sent(self, client_class):
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", next(PORTS)))
-            listener.listen(0)
+        # Takes a port over whose last connections are not yet forgotten, as ``free_ports`` does.
+        with socket.create_server(("127.0.0.1", next(PORTS)), backlog=0) as listener:
             address = listener.getsockname()
             # These fill the queue of the listener, so that further connections get no answer.
             fillers = [socket.socket() for _ in range(4)]
