Hold SIGHUP back while a gateway starts

Changed settings were announced by SIGHUP while a host that had been killed was starting again. It blocks the signal only after some tenths of a second of imports, and until then SIGHUP ends a process.

The start of the interpreter itself (about 0.02 s) is left.

TestStart fails without the change.

--- a/proofs/test_gateway_processes.py
+++ b/proofs/test_gateway_processes.py
@@ -102,6 +102,33 @@
         assert reply.status == 200
 
 
+# Stands for the gateway: gets a SIGHUP where the real one would still import.
+HANGUP_DURING_START = """
+import os, signal, sys
+from rhubarbway import start_gateway
+assert "rhubarbway.gateway" not in sys.modules
+gateway = type(sys)("rhubarbway.gateway")
+gateway.main = lambda: (os.kill(os.getpid(), signal.SIGHUP), print(signal.sigpending()))
+sys.modules["rhubarbway.gateway"] = gateway
+start_gateway.main()
+"""
+
+
+class TestStart:
+    def test_a_hangup_during_the_imports_waits_for_the_gateway(self):
+        """Soak, seed 219: settings that changed while a host started again ended it."""
+        ended = subprocess.run(
+            [sys.executable, "-c", HANGUP_DURING_START],
+            env={"PYTHONPATH": str(SOURCE_DIR)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+        assert (ended.returncode, ended.stderr) == (0, "")
+        assert "SIGHUP" in ended.stdout
+
+
 class TestSettings:
     @pytest.mark.parametrize(
         ("text", "problem"),
@@ -116,7 +143,7 @@
         path = tmp_path / "settings.json"
         path.write_text(text)
         ended = subprocess.run(
-            [sys.executable, "-m", "rhubarbway.gateway"],
+            [sys.executable, "-m", "rhubarbway.start_gateway"],
             env={SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(SOURCE_DIR)},
             capture_output=True,
             text=True,
--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -12,6 +12,7 @@
     100: "a paused host ended when it was resumed: sigtimedwait returned a signal that never came",
     # Overlapping faults of one host started its process twice; a fault of the soak itself.
     136: "a host that is stopped and killed at the same time",
+    219: "settings that changed while a host started again ended it",
 }
 
 
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -141,7 +141,3 @@
     # Connection tasks that wait for a server would hold the interpreter until their time limit.
     sys.stdout.flush()
     os._exit(0)
-
-
-if __name__ == "__main__":
-    main()
--- a/src/rhubarbway_standins/platform/gateways.py
+++ b/src/rhubarbway_standins/platform/gateways.py
@@ -11,7 +11,7 @@
 from rhubarbway_standins.platform.site import ZONES, Site
 from rhubarbway_standins.processes import ManagedProcess, wait_for_reply
 
-MODULE = "rhubarbway.gateway"
+MODULE = "rhubarbway.start_gateway"
 
 
 class GatewayProcesses:
