Keep limits, processor time and connection limits in one place each

The limits of the stand-ins' search route stood in the route, the demo, the soak and a proof; the processor time of a process was read in two modules, one of them a test file that a measurement imported; the limit of connections was computed in two methods. Constants move to the head of their modules, and the budget of a gateway gets a function of its own. No check changes.

--- a/proofs/measurements/exchange_cost.py
+++ b/proofs/measurements/exchange_cost.py
@@ -11,7 +11,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from proofs.test_idle import cpu_seconds
+from proofs.slopes.process import processor_seconds
 from rhubarbway_standins.platform.consumer import asked_once
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import HOST, SEARCH, Site
@@ -36,11 +36,11 @@
         before = 0.0
         for number in range(WARM_UP_QUERIES + queries):
             if number == WARM_UP_QUERIES:
-                before = cpu_seconds(pid)
+                before = processor_seconds(pid)
             reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}?q={number}")
             if reply.status != 200:
                 raise RuntimeError(f"query {number} got status {reply.status}")
-        return (cpu_seconds(pid) - before) / (queries * shards) * 1000
+        return (processor_seconds(pid) - before) / (queries * shards) * 1000
 
 
 def main() -> None:
--- a/proofs/slopes/process.py
+++ b/proofs/slopes/process.py
@@ -8,6 +8,7 @@
 
 def processor_seconds(pid: int) -> float:
     """Return user and system time of a process so far, seconds."""
+    # The second field is the name in brackets and may hold blanks.
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -15,7 +15,15 @@
 from rhubarbway.services.gateway import GRACE_SHARE
 from rhubarbway.services.names import FLEET, FORWARDING, REGISTRY, SERVERS
 from rhubarbway_standins.platform.consumer import asked, asked_once, merged_answer_problem
-from rhubarbway_standins.platform.site import BOARD, BOOKING, HOST, SEARCH, SINGLE
+from rhubarbway_standins.platform.site import (
+    BOARD,
+    BOOKING,
+    HOST,
+    MIN_COVERAGE,
+    RECORD_LIMIT,
+    SEARCH,
+    SINGLE,
+)
 from rhubarbway_standins.platform.store import StoreMode
 
 QUICK_S = 0.6
@@ -34,7 +42,11 @@
     if reply.status != 200:
         return f"status {reply.status}: {reply.body!r}"
     return merged_answer_problem(
-        reply, target=target, shards=fleet.site.shards, record_limit=10, min_coverage=0.75
+        reply,
+        target=target,
+        shards=fleet.site.shards,
+        record_limit=RECORD_LIMIT,
+        min_coverage=MIN_COVERAGE,
     )
 
 
--- a/proofs/test_idle.py
+++ b/proofs/test_idle.py
@@ -1,11 +1,10 @@
 """Proof that an idle daemon uses under 1% of a core."""
 
-import os
 import time
-from pathlib import Path
 
 import pytest
 
+from proofs.slopes.process import processor_seconds
 from proofs.small_fleet import SmallFleet, small_deployment
 from rhubarbway_standins.processes import Fleet
 
@@ -15,13 +14,6 @@
 MEASURED_S = 8.0
 
 
-def cpu_seconds(pid):
-    """Processor time that a process has used, seconds."""
-    # The second field is the name in brackets and may hold blanks.
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 @pytest.fixture
 def small(tmp_path):
     with Fleet(directory=tmp_path) as fleet:
@@ -35,12 +27,13 @@
         """Guards against a thread that polls."""
         small.pause(SETTLE_S)
         pids = [small.fleet.processes[host["name"]].process.pid for host in small.hosts]
-        before = [cpu_seconds(pid) for pid in pids]
+        before = [processor_seconds(pid) for pid in pids]
         started = time.monotonic()
         small.pause(MEASURED_S)
         seconds = time.monotonic() - started
         shares = [
-            (cpu_seconds(pid) - first) / seconds for pid, first in zip(pids, before, strict=True)
+            (processor_seconds(pid) - first) / seconds
+            for pid, first in zip(pids, before, strict=True)
         ]
         print("share of a core:", [f"{share:.4f}" for share in shares])
         assert max(shares) < IDLE_LIMIT
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -52,6 +52,16 @@
 RELOAD_SIGNALS = (signal.SIGHUP,)
 
 
+def budget_of(settings: GatewaySettings) -> ArrivalBudget:
+    """Return the limit of further attempts, for a host that knows no other one yet."""
+    return ArrivalBudget(
+        ratio=settings.retry_ratio,
+        allowance=settings.retry_allowance,
+        window_s=settings.retry_window_s,
+        hosts=UNKNOWN_COUNT,
+    )
+
+
 def kernel_of(settings: GatewaySettings) -> Kernel:
     """Return a kernel with all services of a gateway, not yet started."""
     kernel = Kernel()
@@ -64,13 +74,9 @@
         SERVERS,
         ServerService(dialect=dialect, zone=settings.zone, opens_ahead=not settings.first_start),
     )
-    budget = ArrivalBudget(
-        ratio=settings.retry_ratio,
-        allowance=settings.retry_allowance,
-        window_s=settings.retry_window_s,
-        hosts=UNKNOWN_COUNT,
+    forwarding = kernel.register(
+        FORWARDING, ForwardingService(zone=settings.zone, budget=budget_of(settings))
     )
-    forwarding = kernel.register(FORWARDING, ForwardingService(zone=settings.zone, budget=budget))
     kernel.register(
         REGISTRY, RegistryService(make_client=lambda: StoreClient(address=settings.store))
     )
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -127,8 +127,11 @@
     def apply_limits(self) -> None:
         """Set the connection limit of all pools; the lock is held."""
         for pool in self.pools.values():
-            cap = self.connections.get(pool.server.service)
-            pool.state.limit = connection_limit(cap, self.hosts)
+            pool.state.limit = self.limit_of(pool.server)
+
+    def limit_of(self, server: BackendServer) -> int:
+        """Return how many connections of a server this host may use now; the lock is held."""
+        return connection_limit(self.connections.get(server.service), self.hosts)
 
     def update(self, changed: Iterable[BackendServer], removed: Iterable[str]) -> None:
         """Add, replace and drop servers."""
@@ -201,7 +204,7 @@
         """Return the pool of a server that was not in use."""
         return ServerPool(
             server=server,
-            limit=connection_limit(self.connections.get(server.service), self.hosts),
+            limit=self.limit_of(server),
             dialect=self.dialect,
             spawn=self.executor.submit,
             observe=self.observe,
--- a/src/rhubarbway/services/settings_reload.py
+++ b/src/rhubarbway/services/settings_reload.py
@@ -14,6 +14,9 @@
 from rhubarbway.services.names import FLEET, FORWARDING, GATEWAY
 from rhubarbway.settings import GatewaySettings, gateway_settings_from_bytes
 
+# The platform may change the settings file without a signal; a look at the file is one system call.
+CHECK_INTERVAL_S = 1.0
+
 
 def apply_seeds(kernel: Kernel, settings: GatewaySettings) -> None:
     """Ask other hosts from now on."""
@@ -36,9 +39,6 @@
     gateway.grace_s = settings.grace_s
 
 
-# The platform may change the settings file without a signal; a look at the file is one system call.
-CHECK_INTERVAL_S = 1.0
-
 # Settings that come into force while the process runs. Any other one needs a new process.
 LIVE_SETTINGS: dict[str, Callable[[Kernel, GatewaySettings], None]] = {
     "seeds": apply_seeds,
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -19,6 +19,8 @@
 # How often hosts tell each other of slow servers, and how long that takes, seconds.
 REPORT_INTERVAL_S = 0.5
 REPORT_DELAY_S = 1.0
+# Latency of a run without any answer, seconds.
+NO_ANSWER = float("inf")
 
 
 class KindResult:
@@ -64,9 +66,6 @@
         return self.value / self.asked if self.asked else 0.0
 
 
-NO_ANSWER = float("inf")
-
-
 class Result:
     """What one run has shown."""
 
--- a/src/rhubarbway_standins/platform/demo.py
+++ b/src/rhubarbway_standins/platform/demo.py
@@ -7,13 +7,19 @@
 
 from rhubarbway_standins.platform.consumer import asked, merged_answer_problem
 from rhubarbway_standins.platform.gateways import GatewayProcesses
-from rhubarbway_standins.platform.site import BOARD, HOST, SEARCH, SINGLE, Site
+from rhubarbway_standins.platform.site import (
+    BOARD,
+    HOST,
+    MIN_COVERAGE,
+    RECORD_LIMIT,
+    SEARCH,
+    SINGLE,
+    Site,
+)
 from rhubarbway_standins.processes import free_ports
 
 GATEWAYS = 3
 REQUESTS = 60
-RECORD_LIMIT = 10
-MIN_COVERAGE = 0.75
 
 
 def show_platform(directory: Path) -> int:
--- a/src/rhubarbway_standins/platform/site.py
+++ b/src/rhubarbway_standins/platform/site.py
@@ -16,6 +16,10 @@
 SINGLE = "/waybills/"
 BOOKING = "/bookings/"
 BOARD = "carrier-board"
+# Limits of the search route; callers and the soak check answers against them.
+RECORD_LIMIT = 10
+MIN_COVERAGE = 0.75
+MAX_ATTEMPTS = 2
 LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 262144,
@@ -81,15 +85,20 @@
     def configuration(self, **search: Any) -> dict[str, Any]:
         """Return the next configuration; ``search`` changes the fields of the search route."""
         self.version += 3
-        timing = {"timeoutMs": 1000, "targetLatencyMs": 250, "priority": 1, "maxAttempts": 2}
+        timing = {
+            "timeoutMs": 1000,
+            "targetLatencyMs": 250,
+            "priority": 1,
+            "maxAttempts": MAX_ATTEMPTS,
+        }
         route = {
             "name": "search",
             "host": HOST,
             "pathPrefix": SEARCH,
             "routeType": "safe",
             "gather": self.shards,
-            "topK": 10,
-            "minShardRatio": 0.75,
+            "topK": RECORD_LIMIT,
+            "minShardRatio": MIN_COVERAGE,
         }
         single = {
             "name": "single",
--- a/src/rhubarbway_standins/soak/promises.py
+++ b/src/rhubarbway_standins/soak/promises.py
@@ -7,7 +7,14 @@
 
 from rhubarbway_standins.platform.consumer import ConsumerReply, merged_answer_problem
 from rhubarbway_standins.platform.replica import Arrival, proof, records
-from rhubarbway_standins.platform.site import BOARD, BOOKING, SEARCH
+from rhubarbway_standins.platform.site import (
+    BOARD,
+    BOOKING,
+    MAX_ATTEMPTS,
+    MIN_COVERAGE,
+    RECORD_LIMIT,
+    SEARCH,
+)
 from rhubarbway_standins.soak.callers import DEADLINE_MS, Ask
 from rhubarbway_standins.soak.plan import HOST_FAULTS, STORE_FAULTS, PlannedFault
 from rhubarbway_standins.soak.stage import Drain
@@ -24,9 +31,6 @@
 TIMED_OUT = "TimeoutError"
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-RECORD_LIMIT = 10
-MIN_COVERAGE = 0.75
-MAX_ATTEMPTS = 2
 # A server may be told this much more time than its caller has, milliseconds.
 DEADLINE_SLACK_MS = 500
 
