Wait for the end of the connection that a test cuts

The pool looks at its connection after each outcome and opens another at once if it has ended, so a cut in that moment leaves no such time.

--- a/proofs/measurements/exchange_cost.py
+++ b/proofs/measurements/exchange_cost.py
@@ -39,7 +39,10 @@
                 before = processor_seconds(pid)
             reply = asked_once(gateways.addresses[0], host=HOST, target=f"{SEARCH}?q={number}")
             if reply.status != 200:
-                raise RuntimeError(f"query {number} got status {reply.status}")
+                raise RuntimeError(
+                    f"query {number} got status {reply.status} after {reply.seconds:.3f} s"
+                    f" {reply.error}"
+                )
         return (processor_seconds(pid) - before) / (queries * shards) * 1000
 
 
--- a/src/rhubarbway/services/tests/test_replica_pool.py
+++ b/src/rhubarbway/services/tests/test_replica_pool.py
@@ -182,8 +182,15 @@
         assert setting.ran() == [1]
 
     def test_connection_that_died_while_idle_is_replaced(self, setting):
-        setting.proxy.cut("r")
-        setting.wait_until(lambda: setting.proxy.state()["r"]["connections"] == 0)
+        """Guards against attempts that are sent on a connection which has ended.
+
+        The pool may notice the end at once and open another connection, so the test waits for the
+        end of the one that it cuts and not for the time without any.
+        """
+        port = setting.proxy.ports["r"]
+        idle = set(port.links)
+        assert setting.proxy.cut("r") == len(idle) == 1
+        setting.wait_until(lambda: idle.isdisjoint(port.links))
         assert setting.run().kind is OutcomeKind.ANSWERED
 
     def test_unreachable_replica(self, setting):
--- a/src/rhubarbway_standins/platform/consumer.py
+++ b/src/rhubarbway_standins/platform/consumer.py
@@ -16,9 +16,12 @@
 
 
 class ConsumerReply:
-    """Status (0 without a whole answer), headers by lower-case name, body, and the time it took."""
+    """Status (0 without a whole answer), headers by lower-case name, body, and the time it took.
 
-    __slots__ = ("attempts", "body", "headers", "request_id", "seconds", "status")
+    ``error`` says why there is no whole answer; it is empty if there is one.
+    """
+
+    __slots__ = ("attempts", "body", "error", "headers", "request_id", "seconds", "status")
 
     def __init__(
         self,
@@ -29,8 +32,10 @@
         request_id: str,
         seconds: float,
         attempts: int = 1,
+        error: str = "",
     ) -> None:
         self.status = status
+        self.error = error
         self.headers = headers
         self.body = body
         self.request_id = request_id
@@ -50,6 +55,7 @@
     """Send one attempt on a connection of its own and return its end."""
     request_id = secrets.token_hex(8)
     headers = {"Host": host, "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline_ms)}
+    error = ""
     began = time.monotonic()
     connection = http.client.HTTPConnection(address, timeout=deadline_ms / 1000 + 1.0)
     try:
@@ -58,8 +64,9 @@
         data = response.read()
         found = {name.lower(): value for name, value in response.getheaders()}
         status = response.status
-    except (OSError, http.client.HTTPException):
+    except (OSError, http.client.HTTPException) as failure:
         status, found, data = 0, {}, b""
+        error = f"{type(failure).__name__}: {failure}"
     finally:
         connection.close()
     return ConsumerReply(
@@ -68,6 +75,7 @@
         body=data,
         request_id=request_id,
         seconds=time.monotonic() - began,
+        error=error,
     )
 
 
