Check each attempt and configuration apart from its decision

Change: a service takes the results of cheap checks, counts those that fail and logs one line a second for each. Checked are the service of a server, the attempts of a request, repeats of unsafe requests, the host's share of further attempts (counted a second time from what leaves), the coverage that an answer claims, and the version of each configuration. The soak fails by such a line, and the emulator stops.

--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -20,6 +20,7 @@
 from rhubarbway.services.fleet import FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.gateway import GatewayService
+from rhubarbway.services.invariants import InvariantService
 from rhubarbway.services.log import LogService, part_logger
 from rhubarbway.services.losses import LossService
 from rhubarbway.services.metrics import MetricsService
@@ -28,6 +29,7 @@
     FLEET,
     FORWARDING,
     GATEWAY,
+    INVARIANTS,
     LOG,
     LOSSES,
     METRICS,
@@ -67,6 +69,7 @@
     kernel = Kernel()
     kernel.register(LOG, LogService(level=settings.log_level))
     metrics = kernel.register(METRICS, MetricsService())
+    kernel.register(INVARIANTS, InvariantService())
     kernel.register(LOSSES, LossService())
     kernel.register(ROUTING, RoutingService())
     dialect = ReplicaDialect(encode=request_lines, decode=reply_of)
--- /dev/null
+++ b/src/rhubarbway/services/budget.py
@@ -0,0 +1,39 @@
+"""The budget of further attempts that the tasks of a host share."""
+
+from __future__ import annotations
+
+import threading
+
+from rhubarbway.decisions.arrival_budget import ArrivalBudget
+
+
+class LockedBudget:
+    """An ``ArrivalBudget`` that several tasks use."""
+
+    __slots__ = ("budget", "lock")
+
+    def __init__(self, *, budget: ArrivalBudget) -> None:
+        self.budget = budget
+        self.lock = threading.Lock()
+
+    def note_request(self, service: str, *, now: float) -> None:
+        """Count a request whose first attempt goes to the service."""
+        with self.lock:
+            self.budget.note_request(service, now=now)
+
+    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
+        """Count an extra attempt and return True, if the window still allows it."""
+        with self.lock:
+            return self.budget.take(service, now=now, reserve=reserve)
+
+    def set_limits(self, *, ratio: float, allowance: float, window_s: float) -> None:
+        """Replace the limits; what was counted in the window stays."""
+        with self.lock:
+            self.budget.ratio = ratio
+            self.budget.allowance = allowance
+            self.budget.window_s = window_s
+
+    def set_hosts(self, hosts: int) -> None:
+        """Set the number of entry hosts that share the allowance."""
+        with self.lock:
+            self.budget.hosts = hosts
--- a/src/rhubarbway/services/forward_run.py
+++ b/src/rhubarbway/services/forward_run.py
@@ -223,6 +223,7 @@
             )
         for shard in self.shards.values():
             self.tools.budget.note_request(shard.service, now=now)
+            self.tools.checks.note_request(shard.service, now=now)
             pool = chosen[shard.service]
             if pool is None or shard.service in skipped:
                 self.give_up(shard)
@@ -234,13 +235,15 @@
 
     def send(self, shard: ShardRun, pool: ServerPool) -> None:
         """Hand one attempt to a pool."""
+        now = self.tools.clock()
+        self.tools.checks.note_send(self.request, self.route, shard, pool, now=now)
         attempt = ServerAttempt(
             number=self.tools.next_number(),
             request=self.request,
             shard=shard.service,
             kind=self.route.name,
             deadline=self.attempt_deadline,
-            handed_at=self.tools.clock(),
+            handed_at=now,
             usual_s=self.usual_s,
             deliver=self.inbox.put,
         )
@@ -367,6 +370,14 @@
             if covers_enough(self.route, len(replies)):
                 self.abandon_missing()
                 answer = merged_answer(self.route, replies)
+                self.tools.expect(
+                    len(replies) + answer.missing == len(self.shards),
+                    "coverage_of_an_answer",
+                    request_id=self.request.request_id,
+                    replies=len(replies),
+                    missing=answer.missing,
+                    shards=len(self.shards),
+                )
                 if answer.missing and not self.missed_target:
                     answer.due_at = self.answer_by
                 return answer
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -13,14 +13,15 @@
 from rhubarbway.decisions.forward_answers import STARTING_RETRY_AFTER_S, refusal
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import ExchangeOutcome, ForwardedAnswer, ForwardedRequest, RoutingTable
+from rhubarbway.services.budget import LockedBudget
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forward_run import ForwardRun
-from rhubarbway.services.forwarding_tools import ForwardingTools, LockedBudget
+from rhubarbway.services.forwarding_tools import ForwardingTools
 from rhubarbway.services.kind_times import KindTimesByRoute
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
 from rhubarbway.services.metrics import MetricsService
-from rhubarbway.services.names import LOSSES, METRICS, ROUTING, SERVERS
+from rhubarbway.services.names import INVARIANTS, LOSSES, METRICS, ROUTING, SERVERS
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.server_pool import ServerAttempt, ServerPool
 from rhubarbway.services.servers import ServerService
@@ -63,7 +64,6 @@
         self.metrics = kernel.find(METRICS)
         self.routing = kernel.find(ROUTING)
         self.servers = kernel.find(SERVERS)
-        self.routing.listeners.append(self.note_table)
         self.servers.observers.append(self.times.note)
         self.servers.observers.append(self.count_exchange)
         self.tools = ForwardingTools(
@@ -76,8 +76,10 @@
             processing_s=lambda route: self.margin.allowance(target_s=route.target_s),
             losses=self.losses,
             random=self.random,
+            expect=kernel.find(INVARIANTS).expect,
             log=self.log,
         )
+        self.routing.listeners.append(self.note_table)
 
     def stop(self) -> None:
         """Hold nothing open: requests end in the tasks of their callers."""
@@ -91,6 +93,7 @@
         """Forget what was learnt about services and routes that are gone."""
         with self.budget.lock:
             self.budget.budget.keep_only(table.services)
+        self.tools.checks.keep_only(table.services)
 
     def count_exchange(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
         """Record the end of an attempt in the metrics."""
--- a/src/rhubarbway/services/forwarding_tools.py
+++ b/src/rhubarbway/services/forwarding_tools.py
@@ -2,49 +2,18 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Callable
 from random import Random
 
-from rhubarbway.decisions.arrival_budget import ArrivalBudget
 from rhubarbway.model import Route
+from rhubarbway.services.budget import LockedBudget
+from rhubarbway.services.invariants import Expect
 from rhubarbway.services.losses import LossService
+from rhubarbway.services.send_checks import SendChecks
 from rhubarbway.services.server_pool import ServerPool
 
 
-class LockedBudget:
-    """An ``ArrivalBudget`` that several tasks use."""
-
-    __slots__ = ("budget", "lock")
-
-    def __init__(self, *, budget: ArrivalBudget) -> None:
-        self.budget = budget
-        self.lock = threading.Lock()
-
-    def note_request(self, service: str, *, now: float) -> None:
-        """Count a request whose first attempt goes to the service."""
-        with self.lock:
-            self.budget.note_request(service, now=now)
-
-    def take(self, service: str, *, now: float, reserve: float = 0.0) -> bool:
-        """Count an extra attempt and return True, if the window still allows it."""
-        with self.lock:
-            return self.budget.take(service, now=now, reserve=reserve)
-
-    def set_limits(self, *, ratio: float, allowance: float, window_s: float) -> None:
-        """Replace the limits; what was counted in the window stays."""
-        with self.lock:
-            self.budget.ratio = ratio
-            self.budget.allowance = allowance
-            self.budget.window_s = window_s
-
-    def set_hosts(self, hosts: int) -> None:
-        """Set the number of entry hosts that share the allowance."""
-        with self.lock:
-            self.budget.hosts = hosts
-
-
 class ForwardingTools:
     """What all running requests of a host share.
 
@@ -65,13 +34,19 @@
         its wait and its departure.
     losses : LossService
         Requests that end their servers.
+    expect : callable
+        Takes the results of checks of what must always hold.
+    checks : SendChecks
+        What must hold for each attempt that is sent.
     log : logger
         Takes one line for each decision.
     """
 
     __slots__ = (
         "budget",
+        "checks",
         "clock",
+        "expect",
         "log",
         "losses",
         "next_number",
@@ -95,6 +70,7 @@
         processing_s: Callable[[Route], float],
         losses: LossService,
         random: Random,
+        expect: Expect,
         log,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -103,6 +79,8 @@
         self.pools_of = pools_of
         self.zone = zone
         self.budget = budget
+        self.expect = expect
+        self.checks = SendChecks(budget=budget, expect=expect)
         self.next_number = next_number
         self.second_attempt_delay = second_attempt_delay
         self.usual_s = usual_s
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "attempts",
+        "broken_invariants",
         "condition",
         "config_version",
         "coverage",
@@ -110,6 +111,11 @@
             "Entry hosts that share the limits, as this one counts them.",
             registry=self.registry,
         )
+        self.broken_invariants = Counter(
+            "rhubarbway_broken_invariants_total",
+            "Checks of what must always hold that failed, by name.",
+            registry=self.registry,
+        )
         self.dropped = Counter(
             "rhubarbway_observations_dropped_total",
             "Faulty observations that were not recorded.",
@@ -206,6 +212,10 @@
         """Record the end of an attempt at a backend server."""
         self.exchange_tally.observe((service, end), seconds)
 
+    def count_broken_invariant(self, *, name: str) -> None:
+        """Count a failed check of what must always hold."""
+        self.post(lambda: self.broken_invariants.inc({"invariant": name}))
+
     def set_entry_hosts(self, count: int) -> None:
         """Record the number of entry hosts."""
         self.post(lambda: self.entry_hosts.set({}, count))
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -13,6 +13,7 @@
     from rhubarbway.services.forwarding import ForwardingService
     from rhubarbway.services.frontend import FrontendService
     from rhubarbway.services.gateway import GatewayService
+    from rhubarbway.services.invariants import InvariantService
     from rhubarbway.services.log import LogService
     from rhubarbway.services.losses import LossService
     from rhubarbway.services.manifest import ManifestService
@@ -46,5 +47,6 @@
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
 METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
+INVARIANTS: ServiceKey[InvariantService] = ServiceKey("invariants")
 LOSSES: ServiceKey[LossService] = ServiceKey("losses")
 SETTINGS: ServiceKey[SettingsReload] = ServiceKey("settings")
--- a/src/rhubarbway/services/routing.py
+++ b/src/rhubarbway/services/routing.py
@@ -8,7 +8,9 @@
 from rhubarbway.decisions.route_choice import RouteIndex, SplitSchedule
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import Route, RoutingTable
+from rhubarbway.services.invariants import Expect
 from rhubarbway.services.log import part_logger
+from rhubarbway.services.names import INVARIANTS
 
 
 class TableInForce:
@@ -24,17 +26,21 @@
 class RoutingService:
     """Holds the table in force and tells the listeners when it changes."""
 
-    __slots__ = ("in_force", "listeners", "lock", "log", "splits")
+    __slots__ = ("expect", "highest", "in_force", "listeners", "lock", "log", "splits")
 
     def __init__(self) -> None:
         self.in_force: TableInForce | None = None
+        self.expect: Expect
+        # Highest version that was ever in force.
+        self.highest = 0
         self.listeners: list[Callable[[RoutingTable], None]] = []
         self.lock = threading.Lock()
         self.splits = SplitSchedule()
         self.log = part_logger("routing")
 
     def start(self, kernel: Kernel) -> None:
-        """Need no other service."""
+        """Find where broken invariants are reported."""
+        self.expect = kernel.find(INVARIANTS).expect
 
     def stop(self) -> None:
         """Keep the table: requests in flight still use it."""
@@ -57,7 +63,15 @@
             before = self.version
             if table.version <= before:
                 return False
+            self.expect(
+                table.version > self.highest,
+                "older_configuration",
+                version=table.version,
+                highest=self.highest,
+                source=source,
+            )
             self.in_force = TableInForce(table=table)
+            self.highest = max(self.highest, table.version)
             self.splits.keep_only(route.name for route in table.routes)
         self.log.info(
             "Configuration in force.",
--- a/src/rhubarbway/services/tests/test_forward_run.py
+++ b/src/rhubarbway/services/tests/test_forward_run.py
@@ -18,9 +18,11 @@
     Route,
     SplitPart,
 )
+from rhubarbway.services.budget import LockedBudget
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forward_run import ForwardRun
-from rhubarbway.services.forwarding_tools import ForwardingTools, LockedBudget
+from rhubarbway.services.forwarding_tools import ForwardingTools
+from rhubarbway.services.invariants import require
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.losses import LossService
 
@@ -115,6 +117,7 @@
             processing_s=lambda route: 0.0,
             losses=LossService(),
             random=Random(seed),
+            expect=require,
             log=part_logger("test"),
         )
         request = ForwardedRequest(
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -18,8 +18,10 @@
     ReplicaReply,
     Route,
 )
+from rhubarbway.services.budget import LockedBudget
 from rhubarbway.services.forward_run import ForwardRun
-from rhubarbway.services.forwarding_tools import ForwardingTools, LockedBudget
+from rhubarbway.services.forwarding_tools import ForwardingTools
+from rhubarbway.services.invariants import require
 from rhubarbway.services.kind_times import KindTimesByRoute
 from rhubarbway.services.losses import LossService
 from rhubarbway.services.server_pool import ServerAttempt
@@ -247,6 +249,7 @@
             processing_s=lambda route: self.margin.allowance(target_s=route.target_s),
             losses=LossService(),
             random=random,
+            expect=require,
             log=QuietLog(),
             clock=clock.time,
         )
--- a/src/rhubarbway_standins/soak/promises.py
+++ b/src/rhubarbway_standins/soak/promises.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
+from rhubarbway.services.invariants import BROKEN_LINE
 from rhubarbway_standins.platform.consumer import ConsumerReply, merged_answer_problem
 from rhubarbway_standins.platform.replica import Arrival, proof, records
 from rhubarbway_standins.platform.site import (
@@ -73,6 +74,17 @@
         )
 
 
+def reported_invariants(log: str) -> list[str]:
+    """Return the lines by which a host reports that an invariant of its own does not hold.
+
+    Examples
+    --------
+    >>> reported_invariants('{"event": "invariants: Invariant broken."}\\nStarted.')
+    ['{"event": "invariants: Invariant broken."}']
+    """
+    return [line for line in log.splitlines() if BROKEN_LINE in line]
+
+
 def right_answers(evidence: Evidence) -> Iterable[str]:
     """Each success is the whole answer to its own request, with its coverage."""
     for ask in evidence.asks.values():
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -15,7 +15,7 @@
 from rhubarbway_standins.soak.callers import Ask, Caller
 from rhubarbway_standins.soak.faults import FAULTS, End
 from rhubarbway_standins.soak.plan import PlannedFault, planned_faults
-from rhubarbway_standins.soak.promises import Evidence, violations
+from rhubarbway_standins.soak.promises import Evidence, reported_invariants, violations
 from rhubarbway_standins.soak.stage import SoakStage
 
 SHARDS = 4
@@ -105,6 +105,11 @@
                 task.result()
         self.check_recovery()
         self.check()
+        self.problems += [
+            f"host {host} reports: {line}"
+            for host in range(len(self.stage.gateways.processes))
+            for line in reported_invariants(self.log(host))
+        ]
         self.problems += [
             f"host {host} ended with code {code}"
             for host, code in self.stage.exits
@@ -144,16 +149,15 @@
         time.sleep(max(0.0, began_at + fault.end_s - time.monotonic()))
         end()
 
-    def last_lines(self, host: int) -> str:
-        """Return the end of the log of a host."""
-        path = self.stage.gateways.processes[host].log_path
-        return path.read_text(errors="replace")[-LOG_TAIL:]
+    def log(self, host: int) -> str:
+        """Return the log of a host."""
+        return self.stage.gateways.processes[host].log_path.read_text(errors="replace")
 
     def check_recovery(self) -> None:
         """After the last fault each host serves again, by the newest configuration."""
         processes = self.stage.gateways.processes
         self.problems += [
-            f"host {host} does not run: {self.last_lines(host)}"
+            f"host {host} does not run: {self.log(host)[-LOG_TAIL:]}"
             for host, process in enumerate(processes)
             if not process.is_running
         ]
