--- a/src/rhubarbway/daemon.py
+++ b/src/rhubarbway/daemon.py
@@ -21,6 +21,7 @@
 from rhubarbway.services.frontend import FrontendService
 from rhubarbway.services.log import LogService
 from rhubarbway.services.manifest import ManifestService
+from rhubarbway.services.manifest_exchange import ManifestExchange
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.names import (
     BACKENDS,
@@ -28,6 +29,7 @@
     FRONTEND,
     LOG,
     MANIFEST,
+    MANIFEST_EXCHANGE,
     METRICS,
     PEERS,
     PLATFORM,
@@ -65,6 +67,8 @@
     kernel.register(QUERIES, QueryService(identity=identity))
     kernel.register(SLICES, SliceService(identity=identity))
     kernel.register(TOKENS, TokenService(identity=identity))
+    # Started before the links, whose tasks fetch by it.
+    kernel.register(MANIFEST_EXCHANGE, ManifestExchange())
     peers = PeerService(identity=identity, fellow_hosts=settings.fellow_hosts)
     kernel.register(PEERS, peers)
     connect_crashes(crashes, peers)
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -17,6 +17,7 @@
     from rhubarbway.services.log import LogService
     from rhubarbway.services.losses import LossService
     from rhubarbway.services.manifest import ManifestService
+    from rhubarbway.services.manifest_exchange import ManifestExchange
     from rhubarbway.services.metrics import MetricsService
     from rhubarbway.services.metrics_endpoint import MetricsEndpoint
     from rhubarbway.services.peers import PeerService
@@ -37,6 +38,7 @@
 QUERIES: ServiceKey[QueryService] = ServiceKey("queries")
 SLICES: ServiceKey[SliceService] = ServiceKey("slices")
 TOKENS: ServiceKey[TokenService] = ServiceKey("tokens")
+MANIFEST_EXCHANGE: ServiceKey[ManifestExchange] = ServiceKey("manifest_exchange")
 PEERS: ServiceKey[PeerService] = ServiceKey("peers")
 PLATFORM: ServiceKey[PlatformService] = ServiceKey("platform")
 FRONTEND: ServiceKey[FrontendService] = ServiceKey("frontend")
--- a/src/rhubarbway/services/peers.py
+++ b/src/rhubarbway/services/peers.py
@@ -4,18 +4,16 @@
 
 import threading
 import time
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from werkzeug.wrappers import Request, Response
 
 from rhubarbway.decisions.config_readers import config_readers
 from rhubarbway.decisions.membership import Membership
 from rhubarbway.decisions.neighbours import FULL_MESH_HOSTS, neighbours
-from rhubarbway.decisions.outbox import ROUND_LIMIT_BYTES, NewsItem, Outbox, message_limit
+from rhubarbway.decisions.outbox import ROUND_LIMIT_BYTES, NewsItem, message_limit
 from rhubarbway.edge import gossip_wire
 from rhubarbway.edge.http_client import CallError, HttpConnection, Reply
 from rhubarbway.edge.json_codec import encoded
@@ -29,13 +27,17 @@
     MemberState,
     VersionReport,
 )
+from rhubarbway.services.host_survey import HostSurvey
 from rhubarbway.services.log import part_logger
 from rhubarbway.services.manifest import ManifestService
-from rhubarbway.services.names import FRONTEND, MANIFEST, PLATFORM
+from rhubarbway.services.names import FRONTEND, MANIFEST, MANIFEST_EXCHANGE, PLATFORM
 from rhubarbway.services.pause import PauseGate
+from rhubarbway.services.peer_link import Contact, Link
+from rhubarbway.services.peer_news import Items, Receive, Section, news_item
 
 if TYPE_CHECKING:
     from rhubarbway.services.frontend import FrontendService
+    from rhubarbway.services.manifest_exchange import ManifestExchange
     from rhubarbway.services.platform import PlatformService
 
 JSON = "application/json"
@@ -46,105 +48,10 @@
 # Rounds of all hosts must not fall together.
 ROUND_JITTER = 0.1
 EXCHANGE_TIMEOUT_S = 0.8
-MANIFEST_TIMEOUT_S = 2.0
 # A host that contacts this one without being its neighbour is forgotten after this time.
 CONTACT_LIFETIME_S = 10.0
-SURVEY_TASKS = 4
-# Pause after an answer that does not help, so that hosts that all start at once do not use up
-# their processor time with asking each other.
-SURVEY_PAUSE_S = 0.05
 MAX_TASKS = 64
 
-Receive = Callable[[Any], bool]
-Items = Callable[[], list[tuple[str, Any]]]
-
-
-class Section:
-    """A kind of news that a service passes on through the gossip.
-
-    ``receive`` takes a value from another host and returns whether it is news here; it raises
-    ``BadMessage`` for a value of the wrong form. ``items`` returns key and value of everything
-    that a host without a view has to hear.
-    """
-
-    __slots__ = ("items", "receive")
-
-    def __init__(self, *, receive: Receive, items: Items) -> None:
-        self.receive = receive
-        self.items = items
-
-
-class Contact:
-    """Another entry host with which news is exchanged, and what it still has to hear."""
-
-    __slots__ = ("heard_at", "incarnation", "name", "order", "outbox")
-
-    def __init__(self, *, name: str) -> None:
-        self.name = name
-        self.outbox = Outbox()
-        self.incarnation = ""
-        self.heard_at = float("-inf")
-        self.order = (0, "")
-
-
-class Link:
-    """State of the task that exchanges messages with one neighbour."""
-
-    __slots__ = (
-        "address",
-        "closed",
-        "condition",
-        "connection",
-        "contact",
-        "due_at",
-        "failed",
-        "fetch",
-        "name",
-        "pushed",
-    )
-
-    def __init__(self, *, name: str, address: str, contact: Contact) -> None:
-        self.name = name
-        self.address = address
-        self.contact = contact
-        self.connection = HttpConnection(address=address)
-        self.condition = threading.Condition()
-        self.due_at = time.monotonic()
-        self.pushed = False
-        self.fetch = False
-        self.failed = False
-        self.closed = False
-
-    def wait_until_due(self) -> bool:
-        """Wait for the next round or a push; return False when the link is closed."""
-        with self.condition:
-            while not (self.closed or self.pushed or self.fetch):
-                remaining = self.due_at - time.monotonic()
-                if remaining <= 0:
-                    break
-                self.condition.wait(remaining)
-            self.pushed = False
-            return not self.closed
-
-    def postpone(self, seconds: float) -> None:
-        """Set the time of the next round."""
-        with self.condition:
-            self.due_at = time.monotonic() + seconds
-
-    def wake(self, *, fetch: bool = False) -> None:
-        """Start an exchange, or a request for the manifest, at once."""
-        with self.condition:
-            self.pushed = self.pushed or not fetch
-            self.fetch = self.fetch or fetch
-            self.condition.notify_all()
-
-    def close(self) -> None:
-        """End the task."""
-        with self.condition:
-            self.closed = True
-            self.condition.notify_all()
-        self.connection.abort(self.connection.call_number)
-
 
 class PeerService:
     """Owns one task for each neighbour and the membership view."""
@@ -156,13 +63,13 @@
         "exchanges",
         "executor",
         "fellow_hosts",
-        "fetch_lock",
         "gate",
         "identity",
         "links",
         "lock",
         "log",
         "manifest",
+        "manifest_exchange",
         "membership",
         "peers_known",
         "platform",
@@ -170,7 +77,7 @@
         "readers",
         "sections",
         "stopping",
-        "survey_left",
+        "survey",
     )
 
     def __init__(self, *, identity: HostIdentity, fellow_hosts: list[EntryHost]) -> None:
@@ -185,21 +92,26 @@
         )
         self.membership = Membership(own=own)
         self.lock = threading.Lock()
-        self.fetch_lock = threading.Lock()
         self.links: dict[str, Link] = {}
         self.contacts: dict[str, Contact] = {}
         self.peers_known: dict[str, EntryHost] = {}
         self.sections: dict[str, Section] = {}
         self.readers: list[str] = []
-        self.survey_left: list[EntryHost] | None = None
         self.random = Random(identity.incarnation)
         self.executor = ThreadPoolExecutor(MAX_TASKS, thread_name_prefix="peer")
         self.stopping = threading.Event()
         self.gate = PauseGate(ask_for_news=self.push)
+        self.survey = HostSurvey(
+            executor=self.executor,
+            stopping=self.stopping,
+            is_done=lambda: self.manifest.in_force is not None,
+            ask=self.ask_for_version,
+        )
         self.exchanges = 0
         self.bytes_moved = 0
         self.log = part_logger("peers")
         self.manifest: ManifestService
+        self.manifest_exchange: ManifestExchange
         self.frontend: FrontendService
         self.platform: PlatformService
 
@@ -208,12 +120,12 @@
         self.manifest = kernel.find(MANIFEST)
         self.frontend = kernel.find(FRONTEND)
         self.platform = kernel.find(PLATFORM)
+        self.manifest_exchange = kernel.find(MANIFEST_EXCHANGE)
         self.add_section(
             "hosts", receive=self.platform.receive_host, items=self.platform.host_items
         )
         self.add_section(MEMBERS_SECTION, receive=self.receive_record, items=self.member_items)
         self.frontend.add_route("POST", "/v1/peer/gossip", self.answer_gossip)
-        self.frontend.add_route("GET", "/v1/peer/manifest", self.answer_manifest)
         self.frontend.add_route("GET", "/v1/peer/view", self.answer_view)
         self.platform.subscribe_hosts(lambda host: self.apply_peers() if host.role else None)
         self.manifest.watch_held(self.apply_manifest)
@@ -313,7 +225,7 @@
         while link.wait_until_due():
             if link.fetch:
                 link.fetch = False
-                self.fetch_manifest(link.connection, link.name, link.contact.order)
+                self.manifest_exchange.fetch(link.connection, link.name, link.contact.order)
             else:
                 # The reply or a message of the neighbour postpones the next round.
                 link.postpone(self.round_s())
@@ -470,58 +382,18 @@
             return
         host = self.peers_known.get(name)
         if host is not None and not self.stopping.is_set():
-            self.executor.submit(self.fetch_once, host, order)
+            self.executor.submit(self.manifest_exchange.fetch_once, host, order)
 
-    def fetch_once(self, host: EntryHost, order: tuple[int, str]) -> None:
-        """Fetch the manifest of a host that is no neighbour."""
-        connection = HttpConnection(address=host.address)
-        self.fetch_manifest(connection, host.name, order)
-        connection.close()
+    def forget_order(self, name: str) -> None:
+        """Do not ask a host for its manifest again before its next message."""
+        contact = self.contacts.get(name)
+        if contact is not None:
+            contact.order = (0, "")
 
-    def fetch_manifest(self, connection: HttpConnection, name: str, order: tuple[int, str]) -> None:
-        """Fetch the manifest of another host if no other task does; try the next host on error."""
-        if not self.fetch_lock.acquire(blocking=False):
-            return
-        try:
-            if order <= self.manifest.held_order:
-                return
-            have, digest = self.manifest.held_order
-            path = f"/v1/peer/manifest?have={have}&digest={digest}"
-            fetched = self.offer_fetched(connection, path, name)
-            if not fetched and have:
-                path = "/v1/peer/manifest?have=0"
-                fetched = self.offer_fetched(connection, path, name)
-            if not fetched:
-                raise BadMessage(f"version {order[0]} is not accepted here")
-        except (CallError, BadMessage) as error:
-            self.log.warning("Manifest not fetched.", host=name, error=str(error))
-            contact = self.contacts.get(name)
-            if contact is not None:
-                # Not asked again before its next message.
-                contact.order = (0, "")
-        finally:
-            self.fetch_lock.release()
-        held = self.manifest.held_order
+    def links_ahead(self, order: tuple[int, str]) -> list[Link]:
+        """Return the links to neighbours that hold a greater version."""
         with self.lock:
-            better = [link for link in self.links.values() if link.contact.order > held]
-        for link in better:
-            if link.name != name:
-                link.wake(fetch=True)
-
-    def offer_fetched(self, connection: HttpConnection, path: str, name: str) -> bool:
-        """Request a manifest and offer it; return whether it or a greater one is held now."""
-        reply = connection.call("GET", path, None, timeout_s=MANIFEST_TIMEOUT_S)
-        if reply.status != 200:
-            raise BadMessage(f"status {reply.status}")
-        self.bytes_moved += len(reply.body)
-        body = gossip_wire.manifest_from_json(reply.body)
-        if body.base:
-            self.manifest.offer_delta(
-                base=body.base, patch=bytes(body.patch), digest=body.digest, source=name
-            )
-        else:
-            self.manifest.offer(bytes(body.document), source=name)
-        return self.manifest.held_order >= (body.version, body.digest)
+            return [link for link in self.links.values() if link.contact.order > order]
 
     def run_maintenance(self) -> None:
         """Once a round: heartbeat, ageing of suspicions, choice of readers, version floor."""
@@ -543,7 +415,7 @@
             self.assign_readers()
             self.manifest.apply_held(source="start")
             if self.manifest.in_force is None:
-                self.survey()
+                self.begin_survey()
 
     def forget_contacts(self, now: float) -> None:
         """Drop the outboxes of hosts that are no neighbours and no longer call."""
@@ -563,48 +435,41 @@
         self.readers = config_readers(hosts or [own], blind=blind)
         self.platform.set_reader(self.identity.name in self.readers)
 
-    def survey(self) -> None:
+    def begin_survey(self) -> None:
         """Ask all published hosts of a large fleet for their version while this host starts."""
+        if self.survey.is_running:
+            return
         with self.lock:
-            if len(self.peers_known) <= FULL_MESH_HOSTS or self.survey_left is not None:
+            if len(self.peers_known) <= FULL_MESH_HOSTS:
                 return
             reports = self.manifest.floor.reports
             left = [
                 host
                 for name, host in self.peers_known.items()
-                if name not in self.links and not (name in reports and reports[name].confirmed)
+                if name not in self.links
+                and name != self.identity.name
+                and not (name in reports and reports[name].confirmed)
             ]
-            self.random.shuffle(left)
-            self.survey_left = left
-        for _ in range(SURVEY_TASKS):
-            self.executor.submit(self.survey_hosts)
-
-    def survey_hosts(self) -> None:
-        """Exchange one message with each host left until the version floor is confirmed."""
-        while self.manifest.in_force is None and not self.stopping.is_set():
-            with self.lock:
-                if not self.survey_left:
-                    self.survey_left = None
-                    return
-                host = self.survey_left.pop()
-            if host.name == self.identity.name:
-                continue
-            connection = HttpConnection(address=host.address)
-            body, _ = self.message_to(Contact(name=host.name), resync=False)
-            body.survey = True
-            helped = False
-            try:
-                reply = self.send_gossip(connection, encoded(body))
-                if reply.status == 200:
-                    message = gossip_wire.gossip_from_json(reply.body)
-                    self.hear_version(message)
-                    helped = message.confirmed
-            except (CallError, BadMessage):
-                pass
-            finally:
-                connection.close()
-            if not helped:
-                self.stopping.wait(SURVEY_PAUSE_S)
+        self.random.shuffle(left)
+        self.survey.begin(left)
+
+    def ask_for_version(self, host: EntryHost) -> bool:
+        """Exchange one message with a host; return whether its version is confirmed."""
+        connection = HttpConnection(address=host.address)
+        body, _ = self.message_to(Contact(name=host.name), resync=False)
+        body.survey = True
+        try:
+            reply = self.send_gossip(connection, encoded(body))
+            if reply.status != 200:
+                return False
+            message = gossip_wire.gossip_from_json(reply.body)
+        except (CallError, BadMessage) as error:
+            self.log.debug("No version heard.", host=host.name, error=str(error))
+            return False
+        finally:
+            connection.close()
+        self.hear_version(message)
+        return message.confirmed
 
     def hear_version(self, message: gossip_wire.GossipBody) -> None:
         """Take in only the version that another entry host reports."""
@@ -636,26 +501,6 @@
         self.bytes_moved += len(data) + len(reply)
         return Response(reply, content_type=JSON)
 
-    def answer_manifest(self, request: Request) -> Response:
-        """Return the manifest held, as a delta if the version that the reader has is kept."""
-        have = request.args.get("have", 0, type=int)
-        delta = self.manifest.delta_from(have, request.args.get("digest", ""))
-        if delta is not None:
-            latest, patch = delta
-            body = gossip_wire.ManifestBody(
-                version=latest.version, digest=latest.digest, base=have, patch=msgspec.Raw(patch)
-            )
-        elif self.manifest.kept:
-            latest = self.manifest.kept[-1]
-            body = gossip_wire.ManifestBody(
-                version=latest.version, digest=latest.digest, document=msgspec.Raw(latest.document)
-            )
-        else:
-            return self.frontend.respond_to_bad_request(404, "no manifest is held")
-        data = encoded(body)
-        self.bytes_moved += len(data)
-        return Response(data, content_type=JSON)
-
     def answer_view(self, request: Request) -> Response:
         """Return the membership view, for operators."""
         with self.lock:
@@ -668,13 +513,7 @@
             "held": self.manifest.known_order,
             "confirmed": self.manifest.in_force is not None,
             "exchanges": self.exchanges,
-            "bytes": self.bytes_moved,
+            "bytes": self.bytes_moved + self.manifest_exchange.bytes_moved,
             "leaving": sorted(self.platform.leaving_hosts()),
         }
         return Response(encoded(body), content_type=JSON)
-
-
-def news_item(section: str, key: str, value: Any) -> NewsItem:
-    """Return a piece of news with its encoded size."""
-    body = gossip_wire.NewsBody(section=section, key=key, value=value)
-    return NewsItem(section=section, key=key, value=value, size=len(encoded(body)) + 1)
