Take over what the registry says of a server that registers again

Cause: the pool of one run of a server kept the description with which it was made, so a server that registers again with other slots was ranked by the old ones. A state machine over registrations, drains, ends, caps and hosts found it; before, nothing tested the servers in use without a network.

Change: the pool takes over the new description and keeps its connections.

--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -196,6 +196,11 @@
         with self.lock:
             return apply_report(self.state, report, now=time.monotonic())
 
+    def describe(self, server: BackendServer) -> None:
+        """Take over what the registry now says about the same run of the server."""
+        with self.lock:
+            self.server = self.state.server = server
+
     def close(self) -> None:
         """End the idle connection tasks; the busy ones end after what they do."""
         with self.lock:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -149,7 +149,11 @@
         for server in self.servers.values():
             if server.draining:
                 continue
-            pool = self.pools.get(server.incarnation) or self.new_pool(server)
+            pool = self.pools.get(server.incarnation)
+            if pool is None:
+                pool = self.new_pool(server)
+            elif pool.server is not server:
+                pool.describe(server)
             pools[server.incarnation] = pool
             by_service.setdefault(server.service, []).append(pool)
         gone = [pool for key, pool in self.pools.items() if key not in pools]
