Send the members of the fleet without the names of their fields

A host tells up to 32 followers of all hosts every 1.8 s; at 126 bytes an entry that is 224 KB/s (calculated). The whole copies of the store that hosts get after a restart are another part; the rest is not traced.

Change: a member is sent as a list of values, 66 bytes: 117 KB/s (calculated). The test of a list of 100 hosts failed before with 12,601 bytes of 8,000.

--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -15,8 +15,11 @@
 PATH = "/v1/feed"
 
 
-class WireMember(msgspec.Struct):
-    """An entry host; ``age_ms`` is the time since its newest sign of life."""
+class WireMember(msgspec.Struct, array_like=True):
+    """An entry host; ``age_ms`` is the time since its newest sign of life.
+
+    Each follower gets one of each host every two seconds, so names of fields are left out.
+    """
 
     address: str
     zone: str
--- a/src/rhubarbway/edge/tests/test_feed_wire.py
+++ b/src/rhubarbway/edge/tests/test_feed_wire.py
@@ -66,3 +66,31 @@
         wire = feed_wire.WireItem(key="k", revision=1, value=data, packed=True)
         with pytest.raises(feed_wire.BadFeed):
             feed_wire.item_of(wire)
+
+
+class TestMembers:
+    def test_the_list_of_a_large_fleet_is_short(self):
+        """A host tells up to 32 followers of 100 hosts every 1.8 s, which is 224 KB/s (calculated)
+        with the names of the fields in each entry."""
+        members = [
+            feed_wire.WireMember(
+                address=f"10.2.{number}.41:8284",
+                zone="magelang",
+                incarnation=f"{number:016x}",
+                age_ms=1234,
+            )
+            for number in range(100)
+        ]
+        reply = feed_wire.FeedReply(
+            sender=members[0],
+            after=1,
+            revision=9,
+            whole=False,
+            complete=True,
+            items=[],
+            members=members[1:],
+        )
+        data = feed_wire.encoded(reply)
+        # An address, a zone, a name of a run and three short values.
+        assert len(data) < 100 * 80
+        assert feed_wire.reply_from(data).members == members[1:]
