Tell followed hosts of the hosts below, and ask a seed from time to time

A model of the membership alone (decisions/tests/test_fleet_view.py) shows why: hosts told only those below them of others. The top of the tree knew just its own followers, so hosts saw 64 of 90 and 118 of 300, divided the limits by too few, and changed whom they follow 28 to 110 times a second at 300 hosts, each time with a whole copy of the store. In 2 of 40 starts of 12 hosts some followed each other in a circle and stayed by themselves.

Change: a request to a followed host carries the hosts below the sender, every 1.8 s; a host asks a seed every 5 s; in a fleet of more than 16 a host is forgotten after 10 s, since a sign of life takes more relays.

The tests fail without either change.

--- a/src/rhubarbway/decisions/fleet_view.py
+++ b/src/rhubarbway/decisions/fleet_view.py
@@ -18,6 +18,8 @@
 # A host that was not heard of for this time is taken as gone, seconds. Followers ask each second
 # and hear of the other hosts each two seconds.
 FORGET_AFTER_S = 6.0
+# The same in a large fleet, where a sign of life takes up to five relays of two seconds at most.
+LARGE_FORGET_AFTER_S = 10.0
 # The number of hosts that share limits falls only after this time, seconds, so that hosts which
 # restart in turn do not raise the shares of the others.
 COUNT_MEMORY_S = 12.0
@@ -78,31 +80,58 @@
     (2, ['a:1', 'b:1'])
     """
 
-    __slots__ = ("counts", "heard_any", "members", "own")
+    __slots__ = ("below", "counts", "heard_any", "members", "own")
 
     def __init__(self, *, own: FleetMember) -> None:
         self.own = own
         self.members: dict[str, FleetMember] = {}
         self.heard_any = False
+        # Newest signs of life that came from a follower of this host.
+        self.below: dict[str, float] = {}
         # Number of live hosts by the second in which it was seen.
         self.counts: dict[int, int] = {}
 
-    def hear(self, member: FleetMember) -> None:
-        """Take in a statement about a host, its own or a relayed one."""
+    def hear(self, member: FleetMember, *, from_below: bool = False) -> None:
+        """Take in a statement about a host, its own or a relayed one.
+
+        ``from_below`` says that a follower of this host has made it.
+        """
         if member.address == self.own.address:
             return
+        if from_below:
+            heard_at = self.below.get(member.address, member.heard_at)
+            self.below[member.address] = max(heard_at, member.heard_at)
         self.heard_any = True
         known = self.members.get(member.address)
         if known is None or member.heard_at >= known.heard_at:
             self.members[member.address] = member
 
+    @property
+    def forget_after_s(self) -> float:
+        """Time without a sign of life after which a host is taken as gone, seconds."""
+        return FORGET_AFTER_S if len(self.members) < SMALL_FLEET else LARGE_FORGET_AFTER_S
+
     def alive(self, *, now: float) -> list[FleetMember]:
         """Return the hosts believed to run, this one included; forget the others."""
-        oldest = now - FORGET_AFTER_S
+        oldest = now - self.forget_after_s
         for address in [key for key, member in self.members.items() if member.heard_at < oldest]:
             del self.members[address]
+            self.below.pop(address, None)
         return [self.own, *self.members.values()]
 
+    def told_upwards(self, *, now: float) -> list[FleetMember]:
+        """Return the hosts of which those that this host follows hear only through it.
+
+        Without them the top of the tree knows only its own followers, and each host places itself
+        in a tree of its own.
+        """
+        oldest = now - self.forget_after_s
+        return [
+            member
+            for member in self.alive(now=now)
+            if self.below.get(member.address, float("-inf")) >= oldest
+        ]
+
     def count(self, *, now: float) -> int:
         """Return the number of hosts that share limits: the most of the last seconds."""
         if not self.heard_any:
--- a/src/rhubarbway/decisions/tests/test_fleet_view.py
+++ b/src/rhubarbway/decisions/tests/test_fleet_view.py
@@ -1,6 +1,9 @@
 """Tests of which hosts exist and whom a host follows."""
 
 from collections import Counter
+from copy import copy
+from itertools import product
+from random import Random
 
 import pytest
 
@@ -8,11 +11,17 @@
     COUNT_MEMORY_S,
     FOLLOWERS,
     FORGET_AFTER_S,
+    LARGE_FORGET_AFTER_S,
     STORE_READERS,
     FleetMember,
     FleetView,
 )
 
+SECONDS = 30
+MEMBERS_INTERVAL_S = 1.8
+REJOIN_INTERVAL_S = 5.0
+SEEDS = 3
+
 
 def member(number, *, heard_at=0.0, blind=False):
     return FleetMember(
@@ -24,12 +33,12 @@
     )
 
 
-def views(count, *, blind=()):
-    """Return the views of all hosts, which know each other."""
+def views(count, *, blind=(), known=True):
+    """Return the views of all hosts, which know each other or nobody yet."""
     found = []
     for own in range(count):
         view = FleetView(own=member(own, blind=own in blind))
-        for other in range(count):
+        for other in range(count) if known else ():
             view.hear(member(other, blind=other in blind))
         found.append(view)
     return found
@@ -102,3 +111,83 @@
         later = FORGET_AFTER_S + 1.0
         assert view.count(now=later) == 9
         assert view.count(now=later + COUNT_MEMORY_S + 2.0) == 1
+
+
+class Fleet:
+    """Hosts that start together and know only the seeds; one exchange a second with each parent."""
+
+    def __init__(self, count, *, seed):
+        self.random = Random(seed)
+        self.views = {view.own.address: view for view in views(count, known=False)}
+        self.seeds = list(self.views)[:SEEDS]
+        self.told_at = {}
+        self.followed = {name: [] for name in self.views}
+        self.changes = 0
+
+    def stop(self, name):
+        del self.views[name]
+        del self.followed[name]
+
+    def play(self, begin, end):
+        for second in range(begin, end):
+            order = self.random.sample(list(self.views), len(self.views))
+            for place, name in enumerate(order):
+                self.take_turn(name, second + place / len(order))
+
+    def take_turn(self, name, now):
+        view = self.views[name]
+        view.own.heard_at = now
+        seeds = [seed for seed in self.seeds if seed != name and seed in self.views]
+        parents = [other for other in view.followed(now=now) if other in self.views] or seeds[:2]
+        self.changes += sum(parent not in self.followed[name] for parent in parents)
+        self.followed[name] = parents
+        for parent in parents:
+            self.exchange(name, parent, now)
+        if int(now) % REJOIN_INTERVAL_S == 0:
+            self.exchange(name, self.random.choice(seeds), now)
+
+    def exchange(self, name, parent, now):
+        view, above = self.views[name], self.views[parent]
+        above.own.heard_at = now
+        above.hear(copy(view.own), from_below=True)
+        view.hear(copy(above.own))
+        if now - self.told_at.get((name, parent), float("-inf")) < MEMBERS_INTERVAL_S:
+            return
+        self.told_at[name, parent] = now
+        for member in view.told_upwards(now=now):
+            above.hear(copy(member), from_below=True)
+        for member in above.alive(now=now):
+            view.hear(copy(member))
+
+
+class TestLargeFleet:
+    """A sweep with 300 hosts: each knew 118 of them and placed itself in a tree of its own, the
+    trees changed all the time, and with each change a host got the whole copy of the store."""
+
+    @pytest.mark.parametrize(
+        ("count", "seed"),
+        [*product([9, 12, 14, 20], range(8)), (30, 1), (30, 2), (90, 1)],
+    )
+    def test_hosts_that_start_together_know_each_other(self, count, seed):
+        fleet = Fleet(count, seed=seed)
+        fleet.play(0, SECONDS)
+        assert {len(view.alive(now=SECONDS)) for view in fleet.views.values()} == {count}
+
+    def test_nobody_changes_whom_it_follows(self):
+        fleet = Fleet(120, seed=1)
+        fleet.play(0, 12)
+        fleet.changes = 0
+        fleet.play(12, 18)
+        assert fleet.changes == 0
+        followers = Counter(name for parents in fleet.followed.values() for name in parents)
+        assert max(followers.values()) <= 2 * FOLLOWERS + 3
+
+    def test_a_host_that_is_gone_is_forgotten_by_all(self):
+        """Guards against statements that hosts repeat to each other for ever."""
+        fleet = Fleet(40, seed=2)
+        fleet.play(0, 12)
+        gone = list(fleet.views)[7]
+        fleet.stop(gone)
+        end = 12 + int(LARGE_FORGET_AFTER_S) + 2
+        fleet.play(12, end)
+        assert not any(gone in view.members for view in fleet.views.values())
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -68,13 +68,15 @@
     """Asks for changes.
 
     ``source`` and ``after`` name the copy that was followed before and the number of its last
-    change; ``wait_ms`` is how long the answer may wait for the next one.
+    change; ``wait_ms`` is how long the answer may wait for the next one. ``members`` are hosts that
+    follow the sender, or one of its followers.
     """
 
     sender: WireMember
     source: str
     after: int
     wait_ms: int
+    members: list[WireMember] = []
     losses: list[WireLoss] = []
     reports: list[WireReport] = []
 
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -31,6 +31,9 @@
 CONNECT_TIMEOUT_S = 0.4
 # A follower hears of all other hosts this often, seconds: the list is most of what a reply holds.
 MEMBERS_INTERVAL_S = 1.8
+# A host that follows others still asks a seed this often, seconds. Hosts that start together and
+# know only a part of the fleet may follow each other in a circle that nobody else reaches.
+REJOIN_INTERVAL_S = 5.0
 # Pause after a failed exchange, and while there is nobody to follow, seconds.
 PAUSE_S = 0.3
 # Hosts that each host follows.
@@ -62,6 +65,7 @@
         "server",
         "servers",
         "stopping",
+        "told_above_at",
         "told_at",
         "view",
     )
@@ -78,6 +82,8 @@
         self.read_at = now + (START_WAIT_S if is_first_start else RESTART_WAIT_S * spread)
         # When each follower was told of the other hosts, and how many there were.
         self.told_at: dict[str, tuple[float, int]] = {}
+        # When each followed host was told of the hosts below this one.
+        self.told_above_at: dict[str, float] = {}
         # Exchanges that failed.
         self.failures = 0
         self.listeners: list[Callable[[int], None]] = []
@@ -149,6 +155,7 @@
         connection: HttpConnection | None = None
         source, after = "", 0
         seed_turn = slot
+        rejoin_at = time.monotonic() + REJOIN_INTERVAL_S
         while not self.stopping.is_set():
             address = self.followed(slot)
             if address is None:
@@ -171,6 +178,10 @@
                 self.stopping.wait(PAUSE_S)
                 continue
             source, after = reply.sender.incarnation, reply.after
+            if slot == 0 and time.monotonic() >= rejoin_at:
+                rejoin_at = time.monotonic() + REJOIN_INTERVAL_S
+                seed_turn += 1
+                self.ask_seed(seed_turn)
 
     def exchange(
         self, connection: HttpConnection, *, source: str, after: int, wait_s: float = FEED_WAIT_S
@@ -189,6 +200,7 @@
             source=source,
             after=after,
             wait_ms=int(wait_s * 1000),
+            members=self.members_above(connection.address),
             losses=self.own_losses(),
             reports=self.own_reports(),
         )
@@ -205,7 +217,7 @@
         return feed_wire.reply_from(reply.body)
 
     def ask_seed(self, turn: int) -> None:
-        """Ask one seed who is there, for a host that has lost those whom it followed."""
+        """Ask one seed who is there, for a host that may have lost the others."""
         if not self.seeds:
             return
         connection = HttpConnection(address=self.seeds[turn % len(self.seeds)])
@@ -272,6 +284,19 @@
                 if member.address not in (self.listen, follower)
             ]
 
+    def members_above(self, followed: str) -> list[feed_wire.WireMember]:
+        """Return what a followed host hears of the hosts below this one, mostly nothing new."""
+        now = time.monotonic()
+        with self.lock:
+            if now - self.told_above_at.get(followed, float("-inf")) < MEMBERS_INTERVAL_S:
+                return []
+            self.told_above_at[followed] = now
+            return [
+                feed_wire.wire_member(member, now=now)
+                for member in self.view.told_upwards(now=now)
+                if member.address != followed
+            ]
+
     def own_losses(self) -> list[feed_wire.WireLoss]:
         """Return what this host knows about requests that end their servers."""
         now = time.monotonic()
@@ -299,7 +324,8 @@
             return Response(str(error), status=400)
         now = time.monotonic()
         with self.lock:
-            self.view.hear(feed_wire.member_of(asked.sender, now=now))
+            for wire in (*asked.members, asked.sender):
+                self.view.hear(feed_wire.member_of(wire, now=now), from_below=True)
         self.losses.merge(feed_wire.loss_of(wire, now=now) for wire in asked.losses)
         self.take_reports(asked.reports)
         self.note_count()
