--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -131,7 +131,8 @@
     Keys that a whole copy lacks were deleted. ``after`` is the sequence number of the newest
     change, for the next request. ``complete`` states that the copy contains everything up to
     ``revision`` of the store. ``members`` are the other hosts that the sender knows, or none if
-    they were sent recently.
+    they were sent recently. ``confirmed_age_ms`` is the time since the store last confirmed that
+    the sender's copy is current; None if it never did, or the reply carries no copy.
     """
 
     sender: WireMember
@@ -144,6 +145,7 @@
     losses: list[WireLoss] = []
     reports: list[WireReport] = []
     leaving: list[WireLeavingMark] = []
+    confirmed_age_ms: Age | None = None
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -187,6 +189,16 @@
         raise FeedError(str(error)) from None
 
 
+def age_ms(instant: float, *, now: float) -> int | None:
+    """Return the age of an instant in milliseconds, or None for -inf."""
+    return max(0, round((now - instant) * 1000)) if instant > float("-inf") else None
+
+
+def instant_from_age(age: int | None, *, now: float) -> float:
+    """Return the instant of an age in milliseconds, or -inf for None."""
+    return now - age / 1000 if age is not None else float("-inf")
+
+
 def member_to_wire(member: FleetMember, *, now: float) -> WireMember:
     """Return the wire form of a member, with an age in place of an instant, since clocks differ."""
     return WireMember(
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -118,9 +118,14 @@
         FORWARDING, ForwardingService(zone=settings.zone, budget=build_retry_budget(settings))
     )
     registry = kernel.register(
-        REGISTRY, RegistryService(make_client=lambda: StoreClient(address=settings.store))
+        REGISTRY,
+        RegistryService(
+            make_client=lambda: StoreClient(address=settings.store),
+            apply_limit_s=settings.config_apply_ms / 1000,
+        ),
     )
     registry.invalid_item_listeners.append(metrics.count_invalid_item)
+    registry.confirmation_listeners.append(metrics.set_copy_confirmed)
     fleet = FleetService(
         listen=settings.peer_listen,
         zone=settings.zone,
@@ -128,6 +133,7 @@
         is_first_start=settings.first_start,
         cores=settings.cores,
     )
+    fleet.feed_reply_listeners.append(metrics.count_feed_reply)
     kernel.register(FLEET, fleet)
     kernel.register(DELEGATION, DelegationService(cores=settings.cores, wire=DELEGATION_WIRE))
     fleet.host_count_listeners += [
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -45,6 +45,8 @@
 # together and know only a part of the fleet may follow each other in a cycle that is cut off from
 # the rest.
 REJOIN_INTERVAL_S = 5.0
+# Shortest interval between two lines about whole copies sent to other hosts, seconds.
+WHOLE_COPY_LOG_INTERVAL_S = 1.0
 # Delay after a failed poll, and while there is no host to follow, seconds.
 RETRY_DELAY_S = 0.3
 MAX_FOLLOWED_HOSTS = 2
@@ -81,6 +83,7 @@
         "crashing_requests",
         "delegated_request_handler",
         "failed_poll_count",
+        "feed_reply_listeners",
         "executor",
         "host_count_listeners",
         "listen",
@@ -95,6 +98,8 @@
         "servers",
         "stopping",
         "view",
+        "whole_copies_sent",
+        "whole_copies_logged_at",
     )
 
     def __init__(
@@ -129,6 +134,11 @@
         # Answers the requests that other hosts delegate to this one.
         self.delegated_request_handler: PeerHandler | None = None
         self.host_count_listeners: list[Callable[[int], None]] = []
+        # Called with the content and size of each reply to another host.
+        self.feed_reply_listeners: list[Callable[..., None]] = []
+        # Whole copies sent since the last line about them, and when that line was written.
+        self.whole_copies_sent = 0
+        self.whole_copies_logged_at = float("-inf")
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(MAX_FOLLOWED_HOSTS, thread_name_prefix="fleet")
@@ -330,6 +340,7 @@
             whole=reply.whole,
             complete=reply.complete,
             source=reply.sender.address,
+            confirmed_at=feed_wire.instant_from_age(reply.confirmed_age_ms, now=now),
         )
 
     def record_failure(self, address: str, error: Exception) -> None:
@@ -507,5 +518,24 @@
             losses=self.own_losses(),
             reports=self.own_reports(),
             leaving=self.own_leaving_marks(),
+            confirmed_age_ms=feed_wire.age_ms(changes.confirmed_at, now=time.monotonic()),
         )
-        return Response(feed_wire.message_to_json(reply), content_type="application/json")
+        body = feed_wire.message_to_json(reply)
+        self.report_feed_reply(changes, len(body))
+        return Response(body, content_type="application/json")
+
+    def report_feed_reply(self, changes: Changes, size: int) -> None:
+        """Count a reply, and log the whole copies that were sent, at most once a second."""
+        content = "whole" if changes.whole else "changes" if changes.sequence else "members"
+        for listener in self.feed_reply_listeners:
+            listener(content=content, size=size)
+        if not changes.whole:
+            return
+        now = time.monotonic()
+        with self.lock:
+            self.whole_copies_sent += 1
+            if now < self.whole_copies_logged_at + WHOLE_COPY_LOG_INTERVAL_S:
+                return
+            count, self.whole_copies_sent = self.whole_copies_sent, 0
+            self.whole_copies_logged_at = now
+        self.log.info("Whole copies of the store sent.", count=count, bytes_each=size)
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -4,6 +4,7 @@
 
 import queue
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -36,12 +37,15 @@
         "attempt_counter",
         "broken_invariants",
         "condition",
+        "copy_confirmed",
         "delegated_requests",
         "dropped_observations",
         "entry_hosts",
         "exchange_latency",
         "exchange_tally",
         "executor",
+        "feed_bytes",
+        "feed_replies",
         "forwarded_latency",
         "frontend_refusals",
         "invalid_items",
@@ -128,6 +132,21 @@
             "Values of the store that could not be used, by kind (server, configuration).",
             registry=self.registry,
         )
+        self.copy_confirmed = Gauge(
+            "rhubarbway_store_copy_confirmed_timestamp_seconds",
+            "Unix time at which the store last confirmed that this host's copy is current.",
+            registry=self.registry,
+        )
+        self.feed_replies = Counter(
+            "rhubarbway_feed_replies_total",
+            "Replies to the feed requests of other hosts, by content (whole, changes, members).",
+            registry=self.registry,
+        )
+        self.feed_bytes = Counter(
+            "rhubarbway_feed_bytes_total",
+            "Bytes of the bodies of these replies, by content.",
+            registry=self.registry,
+        )
         # Counts the observations that raised an exception when they were applied.
         self.dropped_observations = Counter(
             "rhubarbway_observations_dropped_total",
@@ -239,6 +258,20 @@
         """Count a value of the store that could not be used."""
         self.queue_observation(lambda: self.invalid_items.inc({"kind": kind}))
 
+    def set_copy_confirmed(self, age_s: float) -> None:
+        """Record that the copy of the store was current ``age_s`` seconds ago."""
+        confirmed_at = time.time() - age_s
+        self.queue_observation(lambda: self.copy_confirmed.set({}, confirmed_at))
+
+    def count_feed_reply(self, *, content: str, size: int) -> None:
+        """Count a reply to another host, whose body has ``size`` bytes."""
+
+        def observe() -> None:
+            self.feed_replies.inc({"content": content})
+            self.feed_bytes.add({"content": content}, size)
+
+        self.queue_observation(observe)
+
     def set_entry_hosts(self, count: int) -> None:
         """Record the number of entry hosts that share the limits: the maximum of a window."""
         self.queue_observation(lambda: self.entry_hosts.set({}, count))
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -76,9 +76,12 @@
         deleted.
     complete : bool
         Whether the copy is complete; items of the store may be missing from an incomplete one.
+    confirmed_at : float
+        ``time.monotonic()`` instant at which the store last confirmed that the copy is current;
+        -inf if it never did.
     """
 
-    __slots__ = ("complete", "items", "revision", "sequence", "whole")
+    __slots__ = ("complete", "confirmed_at", "items", "revision", "sequence", "whole")
 
     def __init__(
         self,
@@ -88,8 +91,10 @@
         sequence: int,
         whole: bool,
         complete: bool,
+        confirmed_at: float = float("-inf"),
     ) -> None:
         self.complete = complete
+        self.confirmed_at = confirmed_at
         self.items = items
         self.revision = revision
         self.sequence = sequence
@@ -106,9 +111,17 @@
     condition : threading.Condition
         Its lock guards the copy. Requests of followers wait for the condition, which is notified
         when the copy changes or waiting followers are to be answered anyway.
+    confirmed_at : float
+        ``time.monotonic()`` instant at which the store last confirmed, to this host or to those
+        that it follows, that the copy is current. The time that a reply takes between two hosts is
+        not counted. -inf until the copy is complete.
     """
 
     __slots__ = (
+        "apply_limit_s",
+        "confirmation_listeners",
+        "confirmed_at",
+        "copy_is_stale",
         "condition",
         "client",
         "complete",
@@ -131,8 +144,17 @@
         "store_reachable",
     )
 
-    def __init__(self, *, make_client: Callable[[], StoreClient]) -> None:
+    def __init__(
+        self, *, make_client: Callable[[], StoreClient], apply_limit_s: float = 3.0
+    ) -> None:
         self.make_client = make_client
+        # Time within which a change of the store must be in force here, seconds.
+        self.apply_limit_s = apply_limit_s
+        self.confirmed_at = float("-inf")
+        # Whether the copy was older than ``apply_limit_s`` when its age was last checked.
+        self.copy_is_stale = False
+        # Called with the age of each new confirmation, seconds.
+        self.confirmation_listeners: list[Callable[[float], None]] = []
         self.client = make_client()
         self.store_copy = StoreCopy()
         self.condition = threading.Condition()
@@ -178,6 +200,7 @@
         retry_delay_s = INITIAL_RETRY_DELAY_S
         history_gone = False
         while not self.stopping.is_set():
+            self.report_copy_age()
             if not self.fleet.is_reader(has_copy=self.complete):
                 self.stopping.wait(
                     ROLE_CHECK_INTERVAL_S if self.complete else START_CHECK_INTERVAL_S
@@ -247,6 +270,7 @@
         whole: bool,
         complete: bool,
         source: str,
+        confirmed_at: float = float("-inf"),
     ) -> None:
         """Apply changes, or a whole copy, to this copy and put what changed into force.
 
@@ -263,6 +287,9 @@
             deletions.
         source : str
             Address of the other host, or "store", for log lines.
+        confirmed_at : float
+            When the store last confirmed that the source is current; the copy is as current as its
+            source afterwards if ``complete``.
         """
         with self.condition:
             apply_to_copy = self.store_copy.replace_all if whole else self.store_copy.apply
@@ -274,6 +301,10 @@
                 self.log.info("Copy of the store is complete.", source=source)
             if changed_items:
                 self.put_into_force(changed_items, source)
+            if complete and confirmed_at > self.confirmed_at:
+                self.confirmed_at = confirmed_at
+                for listener in self.confirmation_listeners:
+                    listener(time.monotonic() - confirmed_at)
             if changed_items or becomes_complete:
                 self.condition.notify_all()
 
@@ -285,7 +316,30 @@
             changes = self.changes_to_apply(items, whole=whole, revision=revision)
         # Applied as changes even after a list: the keys that it lacks are deletions by now, some of
         # which may be deferred.
-        self.apply_changes(changes, revision=revision, whole=False, complete=True, source="store")
+        self.apply_changes(
+            changes,
+            revision=revision,
+            whole=False,
+            complete=True,
+            source="store",
+            confirmed_at=time.monotonic(),
+        )
+
+    def report_copy_age(self) -> None:
+        """Log when the copy becomes older than the time in which changes must be in force."""
+        age_s = time.monotonic() - self.confirmed_at
+        is_stale = self.complete and age_s > self.apply_limit_s
+        if is_stale == self.copy_is_stale:
+            return
+        self.copy_is_stale = is_stale
+        if is_stale:
+            self.log.warning(
+                "Copy of the store is stale.",
+                age_s=round(age_s, 2),
+                revision=self.store_copy.revision,
+            )
+        else:
+            self.log.info("Copy of the store is current again.", revision=self.store_copy.revision)
 
     def changes_to_apply(
         self, items: Sequence[StoreItem], *, whole: bool, revision: int
@@ -366,6 +420,7 @@
                 sequence=self.store_copy.sequence,
                 whole=whole and self.complete,
                 complete=self.complete,
+                confirmed_at=self.confirmed_at,
             )
 
     def end_follower_waits(self) -> None:
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -1,5 +1,7 @@
 """Tests of how a reader applies the store's changes, without a network."""
 
+import time
+
 import msgspec
 
 from rhubarbway.model import StoreItem
@@ -28,6 +30,18 @@
         return None
 
 
+class LineRecorder:
+    """Stands in for a logger; records the texts of the lines."""
+
+    def __init__(self, *, lines):
+        self.lines = lines
+
+    def info(self, event, **_):
+        self.lines.append(event)
+
+    warning = info
+
+
 def entry(number, *, revision=10, **changes):
     value = {
         "service": f"desk-{number // 3}",
@@ -238,3 +252,38 @@
         for revision in range(1000, 1300, 100):
             filled.apply_changes(self.odd_items(revision), revision=revision + 50)
         assert (kinds, len(warnings)) == (["server"] * 150, 50)
+
+
+class TestCopyAge:
+    def test_a_reply_makes_the_copy_as_current_as_its_source(self):
+        """Guards against a stale copy that passes for a current one at the hosts that follow it."""
+        filled = FilledRegistry()
+        registry = filled.registry
+        registry.confirmed_at = 50.0
+        for confirmed_at, complete, expected in (
+            (60.0, True, 60.0),
+            (55.0, True, 60.0),
+            (70.0, False, 60.0),
+        ):
+            registry.apply_changes(
+                [],
+                revision=100,
+                whole=False,
+                complete=complete,
+                source="h",
+                confirmed_at=confirmed_at,
+            )
+            assert registry.confirmed_at == expected
+        assert registry.wait_for_changes(after=None, wait_s=0.0).confirmed_at == 60.0
+
+    def test_a_stale_copy_is_reported_once(self):
+        """Guards against a copy that falls behind without a line in the log, or with many."""
+        registry = FilledRegistry().registry
+        reported = []
+        registry.log = LineRecorder(lines=reported)
+        registry.confirmed_at = time.monotonic() - registry.apply_limit_s - 1.0
+        registry.report_copy_age()
+        registry.report_copy_age()
+        registry.confirmed_at = time.monotonic()
+        registry.report_copy_age()
+        assert reported == ["Copy of the store is stale.", "Copy of the store is current again."]
--- a/src/rhubarbway/settings/gateway.py
+++ b/src/rhubarbway/settings/gateway.py
@@ -40,6 +40,9 @@
         checks once a second and needs two failed checks takes a little over 2 s to react.
     grace_s : float
         Time from SIGTERM until the platform kills the process, seconds.
+    config_apply_ms : float
+        Time after the store has confirmed a configuration within which it must be in force on all
+        hosts that the store can be reached from, directly or through others, milliseconds.
     retry_ratio, retry_allowance, retry_window_s : float
         Limit of the extra attempts that all entry hosts together send to a service in any window
         of ``retry_window_s`` seconds: ``retry_ratio`` for each request, plus ``retry_allowance``.
@@ -53,6 +56,7 @@
     """
 
     __slots__ = (
+        "config_apply_ms",
         "cpu_share",
         "cpu_speed",
         "first_start",
@@ -87,6 +91,7 @@
         metrics_port: int = 0,
         leave_notice_s: float = 2.3,
         grace_s: float = 6.0,
+        config_apply_ms: float = 3000.0,
         retry_ratio: float = 0.1,
         retry_allowance: float = 10.0,
         retry_window_s: float = 10.0,
@@ -95,6 +100,7 @@
         cpu_share: float = 1.0,
         cpu_speed: float = 1.0,
     ) -> None:
+        self.config_apply_ms = config_apply_ms
         self.cpu_share = cpu_share
         self.cpu_speed = cpu_speed
         self.name = name
