Reproduce both ways in which hosts keep an old configuration

A follower that changes its followed host gets a whole copy of the store, 200 items for one change, and hosts whose readers are all silently cut off put a new version into force after 3.6 s of 3 s allowed.

--- a/proofs/gateway_fleet.py
+++ b/proofs/gateway_fleet.py
@@ -66,6 +66,7 @@
             zone=ZONES[number % len(ZONES)],
             seeds=[known.peer_listen for known in self.settings[:2]],
         )
+        settings.store = self.store_address()
         settings.cpu_speed = self.cores[number] if number < len(self.cores) else 1.0
         kernel = build_kernel(settings)
         kernel.start()
@@ -73,6 +74,10 @@
         self.kernels.append(kernel)
         return kernel
 
+    def store_address(self) -> str:
+        """Return the address at which the next gateway reaches the store."""
+        return self.site.store.address
+
     def knows_all_replicas(self, kernel: Kernel) -> bool:
         """Whether a gateway is ready and knows all replicas."""
         known = sum(len(pools) for pools in kernel.find(SERVERS).pools_by_service.values())
--- /dev/null
+++ b/proofs/test_store_cuts.py
@@ -0,0 +1,73 @@
+"""Entry hosts that lose the store while others still reach it."""
+
+import time
+
+from proofs.gateway_fleet import GatewayFleet, wait_until
+from rhubarbway.services.names import FLEET
+from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE, FaultProxy, Route
+
+HOSTS = 9
+# ``configApplyMs`` of the users' small sites, seconds: a version that the store has confirmed must
+# be in force after this time on each host that still reaches the store.
+APPLY_LIMIT_S = 3.0
+CUT_S = 5.5
+
+
+class StoreCutFleet(GatewayFleet):
+    """Gateways that each reach the store through a proxy of their own."""
+
+    def __init__(self, *, hosts):
+        self.proxies = []
+        super().__init__(hosts=hosts)
+
+    def __exit__(self, *exception):
+        super().__exit__(*exception)
+        for proxy in self.proxies:
+            proxy.stop()
+
+    def store_address(self):
+        listen = f"127.0.0.1:{next(self.ports)}"
+        route = Route(name="store", listen=listen, upstream=self.site.store.address)
+        self.proxies.append(FaultProxy(routes=[route]))
+        return listen
+
+    def readers(self):
+        """Return the numbers of the gateways that read the store now."""
+        return [
+            number
+            for number, kernel in enumerate(self.kernels)
+            if kernel.find(FLEET).is_reader(has_copy=True)
+        ]
+
+    def set_cut(self, numbers, *, silent):
+        """Silence the connections of gateways to the store, or let them go on."""
+        for number in numbers:
+            for direction in (REQUEST, RESPONSE):
+                self.proxies[number].set_faults("store", direction, freeze=silent)
+
+
+class TestCutOfAllReaders:
+    def test_the_other_hosts_put_a_new_version_into_force_in_time(self):
+        """Guards against hosts that keep an old configuration because the few hosts which read the
+        store for them are silently cut off from it, all at once.
+        """
+        with StoreCutFleet(hosts=HOSTS) as fleet:
+            wait_until(lambda: len(fleet.readers()) == 3)
+            # A change renews the watches of all readers together.
+            fleet.site.publish(fleet.site.configuration())
+            wait_until(lambda: all(fleet.version(n) == fleet.site.version for n in range(HOSTS)))
+            time.sleep(0.45)
+            cut = fleet.readers()
+            fleet.set_cut(cut, silent=True)
+            time.sleep(0.1)
+            fleet.site.publish(fleet.site.configuration())
+            confirmed_at = time.monotonic()
+            connected = [number for number in range(HOSTS) if number not in cut]
+            try:
+                wait_until(
+                    lambda: all(fleet.version(n) == fleet.site.version for n in connected),
+                    timeout_s=CUT_S,
+                )
+            finally:
+                fleet.set_cut(cut, silent=False)
+            assert time.monotonic() - confirmed_at < APPLY_LIMIT_S
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -9,11 +9,13 @@
 
 from rhubarbway.decisions.fleet_view import FleetView
 from rhubarbway.edge import feed_wire
+from rhubarbway.edge.http_client import Reply as HttpReply
 from rhubarbway.kernel import Kernel
+from rhubarbway.model import StoreItem
 from rhubarbway.services import fleet as module
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.fleet import FleetService
-from rhubarbway.services.registry import Changes
+from rhubarbway.services.registry import Changes, RegistryService
 
 TIMEOUT_S = 5.0
 
@@ -249,3 +251,66 @@
         other.merge(fleet.view.own)
         fleet.view.merge(other.own)
         assert fleet.view.digest(now=now) == other.digest(now=now)
+
+
+class ServersWithoutEffect(ServersWithoutReports):
+    """Server service that ignores the entries of the store."""
+
+    def update(self, changed, removed):
+        pass
+
+
+def fleet_with_copy(number, items, *, revision):
+    """Return a host that has listed the items of the store."""
+    service = FleetService(listen=f"10.0.0.{number}:1", zone="z", seeds=[])
+    service.crashing_requests = CrashingRequestService()
+    service.crashing_requests.start(Kernel())
+    service.servers = ServersWithoutEffect()
+    service.registry = RegistryService(make_client=lambda: None)
+    service.registry.servers = service.servers
+    service.registry.fleet = service
+    service.registry.apply_store_changes(items, revision=revision, whole=True)
+    return service
+
+
+class TestChangeOfTheFollowedHost:
+    ITEMS = tuple(
+        StoreItem(key=f"servers/i-{number}", value=b"{}", revision=number + 1)
+        for number in range(200)
+    )
+
+    def poll(self, follower, followed, *, source="", after=0):
+        """Let one host poll another one, without a network, and return the reply."""
+
+        class Connection:
+            address = followed.listen
+
+            def exchange(self, method, path, *, headers, body, timeout_s, connect_timeout_s):
+                builder = EnvironBuilder(method=method, path=path, data=body)
+                response = followed.respond(builder.get_request())
+                return HttpReply(status=response.status_code, body=response.get_data())
+
+        return follower.poll_feed(Connection(), source=source, after=after, wait_s=0.0)
+
+    def test_a_host_with_a_copy_gets_the_changes_only(self):
+        """Guards against hosts that all request whole copies from a host that is already slow.
+
+        Each exchange that is given up makes a follower turn to another host. If that host then has
+        to send a whole copy, its other followers give up, too, and turn back.
+        """
+        follower = fleet_with_copy(1, self.ITEMS, revision=200)
+        change = StoreItem(key="servers/i-3", value=b"[]", revision=201)
+        followed = fleet_with_copy(2, [*self.ITEMS, change], revision=201)
+        reply = self.poll(follower, followed)
+        assert not reply.whole
+        assert [item.key for item in reply.items] == ["servers/i-3"]
+        follower.apply_reply(reply)
+        assert follower.registry.store_copy.items["servers/i-3"].value == b"[]"
+
+    def test_a_host_without_a_copy_gets_a_whole_one(self):
+        """Guards against a host that starts with a part of the entries."""
+        followed = fleet_with_copy(2, self.ITEMS, revision=200)
+        starting = fleet_with_copy(1, (), revision=0)
+        starting.registry = RegistryService(make_client=lambda: None)
+        reply = self.poll(starting, followed)
+        assert reply.whole and len(reply.items) == 200
