Resume the feed at any host by the revision up to which a copy is settled

Cause: a follower's position in the feed was a sequence number of one host. A follower whose exchange failed turned to another host and needed a whole copy there, 83 KB for one change. Up to 32 followers of a host at the top of a zone did so at once, over 10 Mbit/s, gave up after 1.5 s, and turned to the next one: the retries themselves kept the load up.

A copy now knows the revision up to which it lacks no change, deletions included, and each host knows after which revision it knows every deletion. A follower names its settled revision to any host and gets the later changes only. Whole copies carry the known deletions, so that the receiver can serve others from the same revision. Deletions that a host has deferred do not settle its copy, and a new reader reads from the settled revision and defers them as well.

The test failed before (200 items in place of one). The model of the copies explores deferred deletions and changed sources; it found the case in which a followed host has listed the store, which became a test. Its followed host now lists the store before the change and not with it, since a host that lists it later cannot know the deletions in between; it still failed on the code before.

--- a/proofs/store_copy_model.py
+++ b/proofs/store_copy_model.py
@@ -19,7 +19,16 @@
 # Changes of the store in order; a change at position n, from 1, has revision n. None deletes.
 StoreHistory = tuple[tuple[str, bytes | None], ...]
 SERVER_REMOVED: StoreHistory = ((CONFIG, b"version 1"), (SERVER, b"serving"), (SERVER, None))
+DELETION_ONLY: StoreHistory = ((SERVER, b"serving"), (SERVER, None))
 HISTORY: StoreHistory = (*SERVER_REMOVED, (CONFIG, b"version 2"))
+# Numbers that a copy of the model and a ``StoreCopy`` have in common.
+COUNTERS = (
+    "revision",
+    "settled_revision",
+    "deletions_known_after",
+    "sequence",
+    "complete_from",
+)
 # Answers in flight at a time; bounds the number of states.
 MAX_IN_FLIGHT = 1
 
@@ -30,6 +39,8 @@
     incarnation: int
     complete: bool
     revision: int
+    settled_revision: int
+    deletions_known_after: int
     sequence: int
     complete_from: int
     items: tuple[tuple[str, bytes | None, int], ...]
@@ -37,6 +48,9 @@
     change_log: tuple[tuple[int, str], ...]
     # For each followed host, its incarnation and the sequence number of its last change received.
     feed_positions: tuple[tuple[int, int], ...]
+    # Revision up to which the host has read the store, and the deletions that it has deferred.
+    read_revision: int
+    deferred: tuple[tuple[str, int], ...]
 
 
 class Answer(NamedTuple):
@@ -51,6 +65,8 @@
     sender_incarnation: int
     sequence: int
     revision: int
+    settled_revision: int
+    deletions_known_after: int
     whole: bool
     complete: bool
     items: tuple[tuple[str, bytes | None, int], ...]
@@ -71,7 +87,7 @@
 
 def empty_copy(incarnation: int, hosts: int) -> HostCopy:
     """Return the copy of a host that has just started."""
-    return HostCopy(incarnation, False, 0, 0, 0, (), (), (), ((-1, 0),) * hosts)
+    return HostCopy(incarnation, False, 0, 0, 0, 0, 0, (), (), (), ((-1, 0),) * hosts, 0, ())
 
 
 def to_store_copy(copy: HostCopy) -> StoreCopy:
@@ -80,11 +96,8 @@
     store_copy.items = {key: StoreItem(key=key, value=v, revision=r) for key, v, r in copy.items}
     store_copy.tombstones.update(copy.tombstones)
     store_copy.change_log.extend(copy.change_log)
-    store_copy.revision, store_copy.sequence, store_copy.complete_from = (
-        copy.revision,
-        copy.sequence,
-        copy.complete_from,
-    )
+    for name in COUNTERS:
+        setattr(store_copy, name, getattr(copy, name))
     return store_copy
 
 
@@ -94,9 +107,7 @@
         store_copy.mark_complete()
     return before._replace(
         complete=before.complete or complete,
-        revision=store_copy.revision,
-        sequence=store_copy.sequence,
-        complete_from=store_copy.complete_from,
+        **{name: getattr(store_copy, name) for name in COUNTERS},
         items=item_tuples(sorted(store_copy.items.values(), key=lambda item: item.key)),
         tombstones=tuple(sorted(store_copy.tombstones.items())),
         change_log=tuple(store_copy.change_log),
@@ -123,16 +134,41 @@
     return [item for item in last.values() if item.value is not None]
 
 
-def read_store(copy: HostCopy, revisions_written: int) -> HostCopy:
-    """Return the copy of a host after it lists the store, or watches it from its revision."""
+def read_store(copy: HostCopy, revisions_written: int, *, defers: bool = False) -> HostCopy:
+    """Return the copy of a host after it lists the store, or watches it from where it has read.
+
+    With ``defers`` the deletions that it reads wait for the next read without it.
+    """
     store_copy = to_store_copy(copy)
     if copy.complete:
-        store_copy.apply(
-            store_changes(revisions_written, copy.revision), revision=revisions_written
-        )
+        start = max(copy.settled_revision, copy.read_revision)
+        changes = store_changes(revisions_written, start)
+    else:
+        changes = store_items(revisions_written)
+        listed = {item.key for item in changes}
+        changes += [
+            StoreItem(key=key, value=None, revision=revisions_written)
+            for key, _, revision in copy.items
+            if key not in listed and revision <= revisions_written
+        ]
+        store_copy.record_unknown_deletions(revisions_written)
+    deferred = dict(copy.deferred)
+    if defers:
+        for item in changes:
+            if item.value is None:
+                deferred[item.key] = item.revision
+            else:
+                deferred.pop(item.key, None)
+        changes = [item for item in changes if item.value is not None]
     else:
-        store_copy.replace_all(store_items(revisions_written), revision=revisions_written)
-    return updated_copy(store_copy, copy, complete=True)
+        due = [StoreItem(key=key, value=None, revision=r) for key, r in deferred.items()]
+        changes, deferred = due + changes, {}
+    store_copy.apply(changes, revision=revisions_written)
+    if not deferred:
+        store_copy.settle(revisions_written)
+    return updated_copy(store_copy, copy, complete=True)._replace(
+        read_revision=revisions_written, deferred=tuple(sorted(deferred.items()))
+    )
 
 
 def answer_for(state: ModelState, receiver: int, sender: int) -> Answer:
@@ -141,7 +177,9 @@
     store_copy = to_store_copy(followed)
     incarnation, after = follower.feed_positions[sender]
     changes = store_copy.changes_since(after) if incarnation == followed.incarnation else None
-    items = list(store_copy.items.values()) if changes is None else changes
+    if changes is None and followed.complete and follower.complete and follower.settled_revision:
+        changes = store_copy.changes_after_revision(follower.settled_revision)
+    items = store_copy.whole_copy() if changes is None else changes
     return Answer(
         receiver=receiver,
         receiver_incarnation=follower.incarnation,
@@ -149,6 +187,8 @@
         sender_incarnation=followed.incarnation,
         sequence=store_copy.sequence,
         revision=store_copy.revision,
+        settled_revision=store_copy.settled_revision,
+        deletions_known_after=store_copy.deletions_known_after,
         whole=changes is None and followed.complete,
         complete=followed.complete,
         items=item_tuples(items),
@@ -161,6 +201,12 @@
     items = [StoreItem(key=key, value=value, revision=r) for key, value, r in answer.items]
     apply = store_copy.replace_all if answer.whole else store_copy.apply
     apply(items, revision=answer.revision if answer.complete else 0)
+    if answer.complete:
+        store_copy.follow(
+            settled_revision=answer.settled_revision,
+            deletions_known_after=answer.deletions_known_after,
+            whole=answer.whole,
+        )
     feed_positions = list(copy.feed_positions)
     feed_positions[answer.sender] = (answer.sender_incarnation, answer.sequence)
     return updated_copy(store_copy, copy, complete=answer.complete)._replace(
@@ -175,7 +221,7 @@
     return state._replace(hosts=tuple(hosts))
 
 
-def possible_steps(state: ModelState) -> Iterator[tuple[str, ModelState]]:
+def possible_steps(state: ModelState, *, deferral: bool) -> Iterator[tuple[str, ModelState]]:
     """Yield each possible step and the state after it."""
     if state.revisions_written < len(HISTORY):
         yield f"write {state.revisions_written + 1}", state._replace(
@@ -185,6 +231,10 @@
         yield f"host {number} reads", with_copy(
             state, number, read_store(copy, state.revisions_written)
         )
+        if deferral:
+            yield f"host {number} reads and defers deletions", with_copy(
+                state, number, read_store(copy, state.revisions_written, defers=True)
+            )
         if state.restarts_left:
             fresh = empty_copy(copy.incarnation + 1, len(state.hosts))
             after = with_copy(state, number, fresh)
@@ -214,8 +264,15 @@
     return next((revision for found, _, revision in copy.items if found == key), 0)
 
 
-def violated_invariant(before: HostCopy, after: HostCopy) -> str | None:
-    """Return how a step that changes one host's copy violates an invariant, None if it does not."""
+def violated_invariant(
+    before: HostCopy, after: HostCopy, *, deletions_up_to: int | None = None
+) -> str | None:
+    """Return how a step that changes one host's copy violates an invariant, None if it does not.
+
+    ``deletions_up_to`` is the revision up to which the copy must lack the deleted keys, by default
+    the revision of the copy.
+    """
+    deletions_up_to = after.revision if deletions_up_to is None else deletions_up_to
     for key, value, revision in after.items:
         if HISTORY[revision - 1] != (key, value):
             return f"{key} has value {value!r} at revision {revision}, which the store never had"
@@ -229,15 +286,21 @@
             held = revision_of(after, key)
             if value is not None and held < revision:
                 return f"{key} of revision {revision} is missing in a complete copy"
-            if value is None and 0 < held < revision:
+            if value is None and 0 < held < revision <= deletions_up_to:
                 return f"{key} is held though it was deleted at {revision}"
     return None
 
 
+def violated_invariant_with_deferral(before: HostCopy, after: HostCopy) -> str | None:
+    """Return the same if hosts defer deletions: only settled copies must lack the deleted keys."""
+    return violated_invariant(before, after, deletions_up_to=after.settled_revision)
+
+
 def explore(
     *,
     hosts: int,
     restarts: int,
+    deferral: bool = False,
     check: Callable[[HostCopy, HostCopy], str | None] = violated_invariant,
 ) -> int:
     """Explore all orders of steps and return the number of states.
@@ -252,7 +315,7 @@
     frontier = deque([initial])
     while frontier:
         state = frontier.popleft()
-        for step, after in possible_steps(state):
+        for step, after in possible_steps(state, deferral=deferral):
             if after in predecessors:
                 continue
             predecessors[after] = (state, step)
--- a/proofs/test_store_copy_model.py
+++ b/proofs/test_store_copy_model.py
@@ -3,7 +3,12 @@
 import pytest
 
 from proofs import store_copy_model
-from proofs.store_copy_model import SERVER_REMOVED, InvariantViolation, explore
+from proofs.store_copy_model import (
+    SERVER_REMOVED,
+    InvariantViolation,
+    explore,
+    violated_invariant_with_deferral,
+)
 from rhubarbway.decisions.store_copy import StoreCopy
 
 
@@ -20,6 +25,14 @@
         monkeypatch.setattr(store_copy_model, "HISTORY", SERVER_REMOVED)
         assert explore(hosts=2, restarts=1) > 10_000
 
+    def test_no_order_of_steps_with_deferred_deletions_violates_an_invariant(self, monkeypatch):
+        """Guards against a deleted server that stays in use at a host which has come from another
+        host, if the hosts have deferred the deletion for different times.
+        """
+        monkeypatch.setattr(store_copy_model, "HISTORY", SERVER_REMOVED)
+        check = violated_invariant_with_deferral
+        assert explore(hosts=2, restarts=0, deferral=True, check=check) > 10_000
+
 
 class TestChecker:
     """Without a rule of the copies, the checker finds the violation that the rule prevents."""
@@ -48,3 +61,12 @@
         monkeypatch.setattr(StoreCopy, "apply_one", apply_without_deletions)
         with pytest.raises(InvariantViolation, match="held though it was deleted"):
             explore(hosts=2, restarts=0)
+
+    def test_finds_a_deletion_that_a_copy_from_another_host_does_not_know(self, monkeypatch):
+        """Guards against a checker that misses a deleted server kept by a host which changes the
+        host that it follows. A host that got a whole copy does not know earlier deletions.
+        """
+        monkeypatch.setattr(StoreCopy, "record_unknown_deletions", lambda self, _: None)
+        monkeypatch.setattr(store_copy_model, "HISTORY", SERVER_REMOVED)
+        with pytest.raises(InvariantViolation, match="held though it was deleted"):
+            explore(hosts=2, restarts=0)
--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -3,7 +3,9 @@
 Changes of one key are ordered by their revision in the store, so all copies converge whatever the
 order and the number of sources of the changes. Each applied change gets a sequence number of this
 copy. A follower, which is a host that gets changes from this one, asks for all changes after the
-last sequence number that it has received.
+last sequence number that it has received. A follower that comes from another host has no such
+number, but may have a copy that lacks no change up to a revision of the store; it asks for all
+changes after that revision.
 """
 
 from __future__ import annotations
@@ -28,6 +30,11 @@
     revision : int
         The copy contains all changes up to this revision of the store, except deletions that the
         caller has deferred.
+    settled_revision : int
+        The copy contains all changes up to this revision of the store, deletions included.
+    deletions_known_after : int
+        The copy knows each deletion after this revision of the store that it contains; a follower
+        that lacks earlier ones needs the whole copy.
     sequence : int
         Sequence number of the newest change of this copy.
     complete_from : int
@@ -46,7 +53,16 @@
     [b'1']
     """
 
-    __slots__ = ("tombstones", "complete_from", "items", "change_log", "revision", "sequence")
+    __slots__ = (
+        "change_log",
+        "complete_from",
+        "deletions_known_after",
+        "items",
+        "revision",
+        "sequence",
+        "settled_revision",
+        "tombstones",
+    )
 
     def __init__(self) -> None:
         self.items: dict[str, StoreItem] = {}
@@ -55,6 +71,8 @@
         # value of a key, and superseded ones would fill the memory.
         self.change_log: deque[tuple[int, str]] = deque(maxlen=MAX_LOGGED_CHANGES)
         self.revision = 0
+        self.settled_revision = 0
+        self.deletions_known_after = 0
         self.sequence = 0
         self.complete_from = 0
 
@@ -104,8 +122,7 @@
             is_newer = item.value is not None and item.revision > deleted_at
         if not is_newer:
             if known is None and item.value is None:
-                # A host that lags may still send an older change of the key.
-                self.record_tombstone(item)
+                self.record_deletion_of_unknown_key(item)
             return False
         if item.value is None:
             del self.items[item.key]
@@ -122,7 +139,65 @@
         self.tombstones[item.key] = max(item.revision, self.tombstones.get(item.key, 0))
         self.tombstones.move_to_end(item.key)
         if len(self.tombstones) > MAX_TOMBSTONES:
-            self.tombstones.popitem(last=False)
+            _, dropped_revision = self.tombstones.popitem(last=False)
+            self.deletions_known_after = max(self.deletions_known_after, dropped_revision)
+
+    def record_deletion_of_unknown_key(self, item: StoreItem) -> None:
+        """Keep the deletion of a key that this copy lacks.
+
+        A host that lags may still send an older change of the key, and a follower that comes from
+        another host may hold the key.
+        """
+        if item.revision <= self.tombstones.get(item.key, 0):
+            return
+        self.record_tombstone(item)
+        self.sequence += 1
+        self.change_log.append((self.sequence, item.key))
+
+    def record_unknown_deletions(self, revision: int) -> None:
+        """Record that deletions up to a revision may be unknown, since a list names none."""
+        self.deletions_known_after = max(self.deletions_known_after, revision)
+
+    def settle(self, revision: int) -> None:
+        """Record that the copy contains all changes up to a revision, deletions included."""
+        self.settled_revision = max(self.settled_revision, revision)
+
+    def follow(self, *, settled_revision: int, deletions_known_after: int, whole: bool) -> None:
+        """Record what the copy of a followed host contains, after its changes were applied.
+
+        The follower may hold a key that the followed host never had. So changes alone settle its
+        copy only if the followed host knows all deletions since the follower's copy was settled.
+        """
+        if whole:
+            self.record_unknown_deletions(deletions_known_after)
+        if whole or deletions_known_after <= self.settled_revision:
+            self.settle(settled_revision)
+
+    def whole_copy(self) -> list[StoreItem]:
+        """Return all items and all known deletions."""
+        return [
+            *self.items.values(),
+            *(
+                StoreItem(key=key, value=None, revision=deleted_at)
+                for key, deleted_at in self.tombstones.items()
+            ),
+        ]
+
+    def changes_after_revision(self, revision: int) -> list[StoreItem] | None:
+        """Return the items and deletions after a revision of the store.
+
+        Returns None if this copy may lack some of these deletions, so that a follower whose copy is
+        settled at ``revision`` needs the whole copy.
+        """
+        if revision < self.deletions_known_after:
+            return None
+        changed = [item for item in self.items.values() if item.revision > revision]
+        deleted = [
+            StoreItem(key=key, value=None, revision=deleted_at)
+            for key, deleted_at in self.tombstones.items()
+            if deleted_at > revision
+        ]
+        return changed + deleted
 
     def changes_since(self, sequence: int) -> list[StoreItem] | None:
         """Return the present item, or the deletion, of each key changed after a sequence number.
--- a/src/rhubarbway/decisions/tests/test_store_copy.py
+++ b/src/rhubarbway/decisions/tests/test_store_copy.py
@@ -3,7 +3,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbway.decisions.store_copy import MAX_LOGGED_CHANGES, StoreCopy
+from rhubarbway.decisions.store_copy import (
+    MAX_LOGGED_CHANGES,
+    MAX_TOMBSTONES,
+    StoreCopy,
+)
 from rhubarbway.model import StoreItem
 
 KEYS = ["a", "b", "c"]
@@ -120,3 +124,47 @@
         copy.mark_complete()
         assert copy.changes_since(before_list) is None and copy.changes_since(after_list) is None
         assert copy.changes_since(copy.sequence) == []
+
+
+class TestSettledRevision:
+    def test_a_follower_gets_the_later_changes_and_deletions(self):
+        """Guards against a whole copy for a follower that comes from another host."""
+        copy = StoreCopy()
+        copy.apply(changes_of([("a", False), ("b", False), ("a", True), ("c", False)]), revision=4)
+        found = copy.changes_after_revision(2)
+        assert [(item.key, item.value) for item in found] == [("c", b"4"), ("a", None)]
+
+    def test_a_list_of_the_store_names_no_earlier_deletions(self):
+        """Guards against a follower that keeps a server which was deleted before the list."""
+        copy = StoreCopy()
+        copy.apply(changes_of([("a", False)]), revision=5)
+        copy.record_unknown_deletions(5)
+        assert copy.changes_after_revision(4) is None
+        assert copy.changes_after_revision(5) == []
+
+    def test_dropped_deletions_need_a_whole_copy(self):
+        """Guards against a follower that keeps a server whose deletion is no longer recorded."""
+        copy = StoreCopy()
+        for revision in range(1, MAX_TOMBSTONES + 3):
+            copy.apply([StoreItem(key=f"k{revision}", value=None, revision=revision)], revision=0)
+        assert copy.changes_after_revision(1) is None
+        assert len(copy.changes_after_revision(2)) == MAX_TOMBSTONES
+
+    def test_changes_of_a_host_that_has_listed_the_store_do_not_settle_a_copy(self):
+        """Guards against a deleted server that stays in use although the copy seems settled.
+
+        The follower read a key that the followed host never had, and has deferred its deletion. The
+        followed host then listed the store, so its changes do not name the key.
+        """
+        follower = StoreCopy()
+        follower.apply(changes_of([("a", False)]), revision=2)
+        follower.follow(settled_revision=2, deletions_known_after=2, whole=False)
+        assert follower.settled_revision == 0
+        follower.follow(settled_revision=2, deletions_known_after=2, whole=True)
+        assert follower.settled_revision == 2
+
+    def test_a_deletion_of_an_unknown_key_reaches_followers_that_have_it(self):
+        """Guards against a server that a follower keeps because the followed host never had it."""
+        copy = StoreCopy()
+        copy.apply([StoreItem(key="a", value=None, revision=7)], revision=7)
+        assert [item.key for item in copy.changes_since(0)] == ["a"]
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -110,7 +110,9 @@
     each query to a seed. ``wait_ms`` is how long the reply may wait for a further change.
     ``members`` are the direct and indirect followers of the sender, or none if they were sent
     recently. With ``members_only`` the reply needs no changes, and no members either if
-    ``members_digest`` is that of the members which the receiver knows.
+    ``members_digest`` is that of the members which the receiver knows. ``settled`` is the revision
+    of the store up to which the sender's copy lacks no change, 0 without a complete copy; the reply
+    to a first request then has the later changes only, if the receiver knows them all.
     """
 
     sender: WireMember
@@ -123,6 +125,7 @@
     leaving: list[WireLeavingMark] = []
     members_only: bool = False
     members_digest: Name = ""
+    settled: Counter = 0
 
 
 class FeedReply(msgspec.Struct):
@@ -132,7 +135,8 @@
     change, for the next request. ``complete`` states that the copy contains everything up to
     ``revision`` of the store. ``members`` are the other hosts that the sender knows, or none if
     they were sent recently. ``confirmed_age_ms`` is the time since the store last confirmed that
-    the sender's copy is current; None if it never did, or the reply carries no copy.
+    the sender's copy is current; None if it never did, or the reply carries no copy. ``settled``
+    and ``deletions_known_after`` are those of the sender's copy (``StoreCopy``).
     """
 
     sender: WireMember
@@ -146,6 +150,8 @@
     reports: list[WireReport] = []
     leaving: list[WireLeavingMark] = []
     confirmed_age_ms: Age | None = None
+    settled: Counter = 0
+    deletions_known_after: Counter = 0
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -211,7 +211,8 @@
         connection: HttpConnection | None = None
         source, after = "", 0
         seed_index = slot
-        rejoin_at = time.monotonic() + REJOIN_INTERVAL_S
+        # Hosts that start together do not all query their seeds at the same time.
+        rejoin_at = time.monotonic() + REJOIN_INTERVAL_S * Random().random()
         while not self.stopping.is_set():
             address = self.followed_host(slot)
             if address is None:
@@ -240,6 +241,10 @@
                 rejoin_at = time.monotonic() + REJOIN_INTERVAL_S
                 seed_index += 1
                 self.query_seed(seed_index)
+                if reply.settled > self.registry.settled_revision():
+                    # The followed host has listed the store, so it may not know every deletion
+                    # since this copy was settled, and its changes do not settle it any more.
+                    source, after = "", 0
 
     def poll_feed(
         self,
@@ -283,6 +288,7 @@
             leaving=self.own_leaving_marks(),
             members_only=members_only,
             members_digest=self.members_digest() if members_only else "",
+            settled=self.registry.settled_revision(),
         )
         reply = connection.exchange(
             "POST",
@@ -341,6 +347,8 @@
             complete=reply.complete,
             source=reply.sender.address,
             confirmed_at=feed_wire.instant_from_age(reply.confirmed_age_ms, now=now),
+            settled_revision=reply.settled,
+            deletions_known_after=reply.deletions_known_after,
         )
 
     def record_failure(self, address: str, error: Exception) -> None:
@@ -491,6 +499,7 @@
         changes = self.registry.wait_for_changes(
             after=feed_request.after if after_is_valid else None,
             wait_s=min(feed_request.wait_ms / 1000, FEED_WAIT_S),
+            settled_revision=feed_request.settled,
         )
         members = self.members_for_follower(
             feed_request.sender.address, is_first=not after_is_valid
@@ -519,6 +528,8 @@
             reports=self.own_reports(),
             leaving=self.own_leaving_marks(),
             confirmed_age_ms=feed_wire.age_ms(changes.confirmed_at, now=time.monotonic()),
+            settled=changes.settled_revision,
+            deletions_known_after=changes.deletions_known_after,
         )
         body = feed_wire.message_to_json(reply)
         self.report_feed_reply(changes, len(body))
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -79,9 +79,20 @@
     confirmed_at : float
         ``time.monotonic()`` instant at which the store last confirmed that the copy is current;
         -inf if it never did.
+    settled_revision, deletions_known_after : int
+        Those of the copy (``StoreCopy``).
     """
 
-    __slots__ = ("complete", "confirmed_at", "items", "revision", "sequence", "whole")
+    __slots__ = (
+        "complete",
+        "confirmed_at",
+        "deletions_known_after",
+        "items",
+        "revision",
+        "sequence",
+        "settled_revision",
+        "whole",
+    )
 
     def __init__(
         self,
@@ -92,9 +103,13 @@
         whole: bool,
         complete: bool,
         confirmed_at: float = float("-inf"),
+        settled_revision: int = 0,
+        deletions_known_after: int = 0,
     ) -> None:
         self.complete = complete
         self.confirmed_at = confirmed_at
+        self.settled_revision = settled_revision
+        self.deletions_known_after = deletions_known_after
         self.items = items
         self.revision = revision
         self.sequence = sequence
@@ -135,6 +150,7 @@
         "log",
         "make_client",
         "random",
+        "read_revision",
         "reported_problems",
         "routing",
         "servers",
@@ -166,6 +182,8 @@
         # When waiting followers were last answered without a change.
         self.followers_woken_at = float("-inf")
         self.store_reachable = True
+        # The copy and the deferred deletions contain all changes up to this revision of the store.
+        self.read_revision = 0
         # Deferred deletions by key, and the instant at which the deferral of all of them ends. The
         # end of another outage or another mass deletion moves it.
         self.deferred_deletions: dict[str, StoreItem] = {}
@@ -219,7 +237,7 @@
                 if error.problem is StoreProblem.HISTORY_GONE:
                     self.log.info(
                         "Store no longer keeps the required changes.",
-                        after=self.store_copy.revision,
+                        after=self.watch_start(),
                     )
                     continue
                 self.record_store_failure(error)
@@ -256,12 +274,20 @@
         if self.deferred_deletions:
             # Ends the watch when the deferral ends, since the deletions are applied after a watch.
             wait_s = max(0.1, min(wait_s, self.defer_deletions_until - time.monotonic()))
-        page = self.client.watch("", after_revision=self.store_copy.revision, wait_s=wait_s)
+        page = self.client.watch("", after_revision=self.watch_start(), wait_s=wait_s)
         self.record_store_answer()
         self.apply_store_changes(page.items, revision=page.revision, whole=False)
         if page.items:
             self.stopping.wait(BATCH_DELAY_S)
 
+    def watch_start(self) -> int:
+        """Return the revision after which this host has to read the store.
+
+        The copy may be at a later revision that another host sent without the deletions that it
+        has deferred.
+        """
+        return max(self.store_copy.settled_revision, self.read_revision)
+
     def apply_changes(
         self,
         items: Sequence[StoreItem],
@@ -271,6 +297,8 @@
         complete: bool,
         source: str,
         confirmed_at: float = float("-inf"),
+        settled_revision: int = 0,
+        deletions_known_after: int = 0,
     ) -> None:
         """Apply changes, or a whole copy, to this copy and put what changed into force.
 
@@ -290,10 +318,19 @@
         confirmed_at : float
             When the store last confirmed that the source is current; the copy is as current as its
             source afterwards if ``complete``.
+        settled_revision, deletions_known_after : int
+            Those of the source's copy (``StoreCopy``).
         """
         with self.condition:
             apply_to_copy = self.store_copy.replace_all if whole else self.store_copy.apply
+            sequence_before = self.store_copy.sequence
             changed_items = apply_to_copy(items, revision=revision if complete else 0)
+            if complete:
+                self.store_copy.follow(
+                    settled_revision=settled_revision,
+                    deletions_known_after=deletions_known_after,
+                    whole=whole,
+                )
             becomes_complete = complete and not self.complete
             if becomes_complete:
                 self.complete = True
@@ -305,7 +342,7 @@
                 self.confirmed_at = confirmed_at
                 for listener in self.confirmation_listeners:
                     listener(time.monotonic() - confirmed_at)
-            if changed_items or becomes_complete:
+            if self.store_copy.sequence > sequence_before:
                 self.condition.notify_all()
 
     def apply_store_changes(
@@ -314,6 +351,9 @@
         """Apply changes, or all items if ``whole``, read from the store; may defer deletions."""
         with self.condition:
             changes = self.changes_to_apply(items, whole=whole, revision=revision)
+            self.read_revision = max(self.read_revision, revision)
+            if whole:
+                self.store_copy.record_unknown_deletions(revision)
         # Applied as changes even after a list: the keys that it lacks are deletions by now, some of
         # which may be deferred.
         self.apply_changes(
@@ -323,6 +363,7 @@
             complete=True,
             source="store",
             confirmed_at=time.monotonic(),
+            settled_revision=0 if self.deferred_deletions else revision,
         )
 
     def report_copy_age(self) -> None:
@@ -347,8 +388,9 @@
         """Return the changes of the store to apply now, with deletions whose deferral has ended.
 
         Entries lapse during an outage of the store and are written again soon after it. The end of
-        an outage, or many deletions at once, therefore defers all deletions that are read until
-        ``LAPSE_GRACE_S`` has passed since the last such event.
+        an outage, many deletions at once, or a deletion that another host has deferred therefore
+        defer all deletions that are read until ``LAPSE_GRACE_S`` has passed since the last such
+        event.
         """
         now = time.monotonic()
         changes = list(items)
@@ -372,6 +414,8 @@
                 count=len(deleted_keys),
                 of=serving_count,
             )
+        elif not whole and any(self.is_deferred_elsewhere(item) for item in changes):
+            self.defer_deletions_until = max(self.defer_deletions_until, now + LAPSE_GRACE_S)
         if now < self.defer_deletions_until:
             for item in changes:
                 if item.value is None:
@@ -383,6 +427,19 @@
         self.deferred_deletions.clear()
         return due_deletions + changes
 
+    def is_deferred_elsewhere(self, item: StoreItem) -> bool:
+        """Return whether a change is a deletion that the host which sent this copy has deferred.
+
+        The copy has reached the revision of the deletion, and still holds the key. A deletion that
+        this host has deferred itself is not read again.
+        """
+        known = self.store_copy.items.get(item.key)
+        return (
+            item.value is None
+            and known is not None
+            and known.revision < item.revision <= self.store_copy.revision
+        )
+
     def is_serving(self, key: str) -> bool:
         """Return whether the entry of a key describes a server that is not draining."""
         item = self.store_copy.items.get(key)
@@ -391,7 +448,9 @@
         server = server_from_entry(key, item.value).value_or(None)
         return server is not None and not server.draining
 
-    def wait_for_changes(self, *, after: int | None, wait_s: float) -> Changes:
+    def wait_for_changes(
+        self, *, after: int | None, wait_s: float, settled_revision: int = 0
+    ) -> Changes:
         """Return the changes after a sequence number, or the whole copy.
 
         Returns the whole copy also if this host does not know all changes since ``after``.
@@ -401,9 +460,12 @@
         after : int or None
             Sequence number of the last change that the follower has. If there is no later change,
             waits for one or until waiting followers are woken without one. None returns the whole
-            copy at once.
+            at once.
         wait_s : float
             Longest time to wait, seconds.
+        settled_revision : int
+            Revision of the store up to which the follower's own copy lacks no change, 0 if it has
+            none. The changes after it take the place of the whole copy if this host knows them.
         """
         with self.condition:
             if (
@@ -413,16 +475,25 @@
             ):
                 self.condition.wait(wait_s)
             items = self.store_copy.changes_since(after) if after is not None else None
+            if items is None and self.complete and settled_revision:
+                items = self.store_copy.changes_after_revision(settled_revision)
             whole = items is None
             return Changes(
-                items=list(self.store_copy.items.values()) if items is None else items,
+                items=self.store_copy.whole_copy() if items is None else items,
                 revision=self.store_copy.revision,
                 sequence=self.store_copy.sequence,
                 whole=whole and self.complete,
                 complete=self.complete,
                 confirmed_at=self.confirmed_at,
+                settled_revision=self.store_copy.settled_revision,
+                deletions_known_after=self.store_copy.deletions_known_after,
             )
 
+    def settled_revision(self) -> int:
+        """Return the revision up to which the copy lacks no change, 0 without a whole copy."""
+        with self.condition:
+            return self.store_copy.settled_revision if self.complete else 0
+
     def end_follower_waits(self) -> None:
         """Answer waiting followers now and later requests at once; called when the host stops."""
         with self.condition:
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -34,7 +34,10 @@
     def apply_changes(self, items, **details):
         pass
 
-    def wait_for_changes(self, *, after, wait_s):
+    def settled_revision(self):
+        return 1
+
+    def wait_for_changes(self, *, after, wait_s, settled_revision):
         return Changes(items=[], revision=1, sequence=1, whole=False, complete=True)
 
 
@@ -300,7 +303,8 @@
         """
         follower = fleet_with_copy(1, self.ITEMS, revision=200)
         change = StoreItem(key="servers/i-3", value=b"[]", revision=201)
-        followed = fleet_with_copy(2, [*self.ITEMS, change], revision=201)
+        followed = fleet_with_copy(2, self.ITEMS, revision=200)
+        followed.registry.apply_store_changes([change], revision=201, whole=False)
         reply = self.poll(follower, followed)
         assert not reply.whole
         assert [item.key for item in reply.items] == ["servers/i-3"]
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -254,6 +254,28 @@
         assert (kinds, len(warnings)) == (["server"] * 150, 50)
 
 
+class TestDeletionsDeferredElsewhere:
+    def test_a_new_reader_defers_them_too(self):
+        """Guards against entries that lapsed in an outage and that a new reader removes at once.
+
+        The host that sent this copy has read their deletion and waits whether they come back. The
+        new reader reads the store from where the copy lacks no change.
+        """
+        filled = FilledRegistry()
+        registry = filled.registry
+        start = registry.watch_start()
+        registry.apply_changes(
+            [], revision=200, whole=False, complete=True, source="h", settled_revision=start
+        )
+        assert registry.watch_start() == start < registry.store_copy.revision
+        filled.apply_changes([deletion(1, revision=190)], revision=200)
+        assert filled.recorder.removed == [] and registry.store_copy.settled_revision == start
+        registry.defer_deletions_until = 0.0
+        filled.apply_changes([], revision=201)
+        assert filled.recorder.removed == ["i-1"]
+        assert registry.store_copy.settled_revision == 201
+
+
 class TestCopyAge:
     def test_a_reply_makes_the_copy_as_current_as_its_source(self):
         """Guards against a stale copy that passes for a current one at the hosts that follow it."""
