Log the traffic of the feed by kind of record

The log of whole copies showed few of them at the hosts at the top of the zone while their links were saturated, so the line sums up what the replies carry: items, members, losses, reports and leaving servers.

--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -28,6 +28,7 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits
 from rhubarbway.services.crashing_requests import CrashingRequestService
+from rhubarbway.services.feed_traffic import FeedTraffic
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import CRASHING_REQUESTS, REGISTRY, SERVERS
 from rhubarbway.services.registry import Changes, RegistryService
@@ -45,8 +46,6 @@
 # together and know only a part of the fleet may follow each other in a cycle that is cut off from
 # the rest.
 REJOIN_INTERVAL_S = 5.0
-# Shortest interval between two lines about whole copies sent to other hosts, seconds.
-WHOLE_COPY_LOG_INTERVAL_S = 1.0
 # Delay after a failed poll, and while there is no host to follow, seconds.
 RETRY_DELAY_S = 0.3
 MAX_FOLLOWED_HOSTS = 2
@@ -83,6 +82,7 @@
         "crashing_requests",
         "delegated_request_handler",
         "failed_poll_count",
+        "feed_traffic",
         "feed_reply_listeners",
         "executor",
         "host_count_listeners",
@@ -98,8 +98,6 @@
         "servers",
         "stopping",
         "view",
-        "whole_copies_sent",
-        "whole_copies_logged_at",
     )
 
     def __init__(
@@ -136,9 +134,7 @@
         self.host_count_listeners: list[Callable[[int], None]] = []
         # Called with the content and size of each reply to another host.
         self.feed_reply_listeners: list[Callable[..., None]] = []
-        # Whole copies sent since the last line about them, and when that line was written.
-        self.whole_copies_sent = 0
-        self.whole_copies_logged_at = float("-inf")
+        self.feed_traffic = FeedTraffic(now=now)
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(MAX_FOLLOWED_HOSTS, thread_name_prefix="fleet")
@@ -532,21 +528,11 @@
             deletions_known_after=changes.deletions_known_after,
         )
         body = feed_wire.message_to_json(reply)
-        self.report_feed_reply(changes, len(body))
-        return Response(body, content_type="application/json")
-
-    def report_feed_reply(self, changes: Changes, size: int) -> None:
-        """Count a reply, and log the whole copies that were sent, at most once a second."""
         content = "whole" if changes.whole else "changes" if changes.sequence else "members"
         for listener in self.feed_reply_listeners:
-            listener(content=content, size=size)
-        if not changes.whole:
-            return
-        now = time.monotonic()
+            listener(content=content, size=len(body))
         with self.lock:
-            self.whole_copies_sent += 1
-            if now < self.whole_copies_logged_at + WHOLE_COPY_LOG_INTERVAL_S:
-                return
-            count, self.whole_copies_sent = self.whole_copies_sent, 0
-            self.whole_copies_logged_at = now
-        self.log.info("Whole copies of the store sent.", count=count, bytes_each=size)
+            traffic = self.feed_traffic.record(reply, size=len(body), now=time.monotonic())
+        if traffic:
+            self.log.info("Feed traffic.", **traffic)
+        return Response(body, content_type="application/json")
