Let hosts notice by themselves that their copy of the store is not confirmed

Cause: a copy without changes looked like a current one. Only a reader could notice a cut, when its watch of 3 s timed out, 3.7 s after a change had renewed all watches together.

The store confirms a copy with each answer, and the feed now passes on when it last did. The first reader asks for a confirmation in a third of the time allowed for a change, and hosts relay a newer one at once. A host whose copy was not confirmed for half of that time asks random hosts for changes, and by rank reads the store itself: 3 hosts at first, twice as many each tenth of the limit, 24 at most. A host that could not reach the store and no longer reads it may be chosen again after 10 s.

--- a/proofs/test_store_cuts.py
+++ b/proofs/test_store_cuts.py
@@ -3,7 +3,8 @@
 import time
 
 from proofs.gateway_fleet import GatewayFleet, wait_until
-from rhubarbway.services.names import FLEET
+from rhubarbway.decisions.copy_freshness import STALE_FRACTION
+from rhubarbway.services.names import FLEET, REGISTRY
 from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE, FaultProxy, Route
 
 HOSTS = 9
@@ -71,3 +72,17 @@
             finally:
                 fleet.set_cut(cut, silent=False)
             assert time.monotonic() - confirmed_at < APPLY_LIMIT_S
+
+
+class TestCalm:
+    def test_no_copy_is_stale_while_all_readers_reach_the_store(self):
+        """Guards against hosts that read the store although nothing is wrong."""
+        with StoreCutFleet(hosts=HOSTS) as fleet:
+            wait_until(lambda: len(fleet.readers()) == 3)
+            time.sleep(1.0)
+            oldest_s = 0.0
+            for _ in range(60):
+                ages = [kernel.find(REGISTRY).copy_age_s() for kernel in fleet.kernels]
+                oldest_s = max(oldest_s, *ages)
+                time.sleep(0.05)
+            assert oldest_s < STALE_FRACTION * APPLY_LIMIT_S
--- a/src/rhubarbway/decisions/fleet_view.py
+++ b/src/rhubarbway/decisions/fleet_view.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
+from random import Random
 
 import xxhash
 
 from rhubarbway.decisions.config_readers import select_readers
-from rhubarbway.decisions.rendezvous import ranked_hosts
+from rhubarbway.decisions.rendezvous import ranked_hosts, spread_over_zones
 from rhubarbway.model import EntryHost
 
 # Number of hosts that read the store on behalf of all; substitutes are added for those that cannot
@@ -181,6 +182,33 @@
         blind = [member.address for member in candidates if member.blind]
         return select_readers(entry_hosts_from(candidates), blind=blind, count=STORE_READER_COUNT)
 
+    def is_first_reader(self, *, now: float) -> bool:
+        """Return whether this host is the first of the readers that reach the store."""
+        readers = self.readers(now=now)
+        blind = {member.address for member in self.alive(now=now) if member.blind}
+        connected = [address for address in readers if address not in blind]
+        return bool(connected) and connected[0] == self.own.address
+
+    def is_stale_reader(self, *, now: float, count: int) -> bool:
+        """Return whether this host is one of ``count`` others that read while copies are stale.
+
+        They are spread over the zones, since a zone may be cut off as a whole.
+        """
+        readers = self.readers(now=now)
+        candidates = [
+            member
+            for member in self.alive(now=now)
+            if not member.leaving and member.address not in readers
+        ]
+        ranked = ranked_hosts(entry_hosts_from(candidates), key="stale-reader")
+        chosen = spread_over_zones(ranked, count)
+        return self.own.address in [host.name for host in chosen]
+
+    def random_member(self, random: Random) -> str | None:
+        """Return the address of any other host that does not leave, None without one."""
+        addresses = [member.address for member in self.members.values() if not member.leaving]
+        return random.choice(addresses) if addresses else None
+
     def followed_hosts(self, *, now: float) -> list[str]:
         """Return the addresses of up to two hosts that this host follows.
 
--- a/src/rhubarbway/decisions/tests/test_fleet_view.py
+++ b/src/rhubarbway/decisions/tests/test_fleet_view.py
@@ -108,6 +108,31 @@
 
 
 class TestReaders:
+    @pytest.mark.parametrize("count", [3, 6, 24])
+    def test_few_hosts_read_for_lack_of_a_confirmation(self, count):
+        """Guards against a whole fleet that reads a store which is down, and against a zone in
+        which no host does.
+        """
+        stale_readers = [
+            view.own for view in views(90) if view.is_stale_reader(now=0.0, count=count)
+        ]
+        assert len(stale_readers) == count
+        assert {host.zone for host in stale_readers} == {"z0", "z1", "z2"}
+        readers = views(1)[0].readers(now=0.0)
+        assert not set(readers).intersection(host.address for host in stale_readers)
+
+    def test_one_reader_that_reaches_the_store_is_the_first(self):
+        """Guards against copies that no reader confirms often, or all of them do."""
+        all_views = views(9)
+        names = all_views[0].readers(now=0.0)
+        first = [view.own.address for view in all_views if view.is_first_reader(now=0.0)]
+        assert first == names[:1]
+        blind = {number for number in range(9) if member(number).address == names[0]}
+        first = [
+            view.own.address for view in views(9, blind=blind) if view.is_first_reader(now=0.0)
+        ]
+        assert first == names[1:2]
+
     def test_all_hosts_select_the_same_few_readers(self):
         """Guards against hosts that select different readers, so that most hosts read the store."""
         lists = {tuple(view.readers(now=0.0)) for view in views(30)}
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -15,6 +15,7 @@
 
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.decisions.copy_freshness import stale_reader_count
 from rhubarbway.decisions.fleet_view import FleetMember, FleetView
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.addresses import parse_address
@@ -46,6 +47,9 @@
 # together and know only a part of the fleet may follow each other in a cycle that is cut off from
 # the rest.
 REJOIN_INTERVAL_S = 5.0
+# The same interval while the copy of the store is stale, seconds. The host then asks any other host
+# for changes, since those that it follows have none.
+STALE_REJOIN_INTERVAL_S = 0.5
 # Delay after a failed poll, and while there is no host to follow, seconds.
 RETRY_DELAY_S = 0.3
 MAX_FOLLOWED_HOSTS = 2
@@ -89,6 +93,7 @@
         "listen",
         "lock",
         "log",
+        "random",
         "read_store_at",
         "registry",
         "seeds",
@@ -129,6 +134,7 @@
         # By followed host: when the direct and indirect followers were last sent to it.
         self.sent_to_followed_at: dict[str, float] = {}
         self.failed_poll_count = 0
+        self.random = Random()
         # Answers the requests that other hosts delegate to this one.
         self.delegated_request_handler: PeerHandler | None = None
         self.host_count_listeners: list[Callable[[int], None]] = []
@@ -177,8 +183,12 @@
         """Mark this host as leaving, for its next messages to other hosts."""
         self.view.own.leaving = True
 
-    def is_reader(self, *, has_copy: bool) -> bool:
-        """Return whether this host reads the store, as a chosen reader or for lack of a copy."""
+    def is_reader(self, *, has_copy: bool, copy_age_s: float = 0.0) -> bool:
+        """Return whether this host reads the store.
+
+        It does so as a chosen reader, for lack of a copy, or, by rank, because its copy was last
+        confirmed ``copy_age_s`` ago, so that the readers may be cut off from the store.
+        """
         now = time.monotonic()
         with self.lock:
             if not has_copy and now >= self.read_store_at:
@@ -188,7 +198,15 @@
             )
             if self.seeds and not self.view.has_seen_others and waits_for_seeds:
                 return False
-            return self.listen in self.view.readers(now=now)
+            if self.listen in self.view.readers(now=now):
+                return True
+            count = stale_reader_count(copy_age_s, apply_limit_s=self.registry.apply_limit_s)
+            return count > 0 and self.view.is_stale_reader(now=now, count=count)
+
+    def is_first_reader(self) -> bool:
+        """Return whether this host is the first of the readers that reach the store."""
+        with self.lock:
+            return self.view.is_first_reader(now=time.monotonic())
 
     def set_blind(self, blind: bool) -> None:
         """Record whether this host is unable to reach the store."""
@@ -229,12 +247,20 @@
                 self.record_failure(address, error)
                 connection.disconnect()
                 seed_index += 1
-                self.query_seed(seed_index)
+                if self.registry.is_copy_stale():
+                    self.query_any_host()
+                else:
+                    self.query_seed(seed_index)
                 self.stopping.wait(RETRY_DELAY_S)
                 continue
             source, after = reply.sender.incarnation, reply.after
-            if slot == 0 and time.monotonic() >= rejoin_at:
-                rejoin_at = time.monotonic() + REJOIN_INTERVAL_S
+            now = time.monotonic()
+            is_stale = self.registry.is_copy_stale()
+            if is_stale and now >= rejoin_at - REJOIN_INTERVAL_S + STALE_REJOIN_INTERVAL_S:
+                rejoin_at = now + REJOIN_INTERVAL_S
+                self.query_any_host()
+            elif slot == 0 and now >= rejoin_at:
+                rejoin_at = now + REJOIN_INTERVAL_S
                 seed_index += 1
                 self.query_seed(seed_index)
                 if reply.settled > self.registry.settled_revision():
@@ -304,17 +330,24 @@
         A host with a copy of the store asks for the members only: each host does this every few
         seconds, and the copies would be most of the traffic between zones.
         """
-        if not self.seeds:
-            return
-        connection = HttpConnection(address=self.seeds[index % len(self.seeds)])
+        if self.seeds:
+            seed = self.seeds[index % len(self.seeds)]
+            self.query_once(seed, members_only=self.registry.complete)
+
+    def query_any_host(self) -> None:
+        """Query a random host without waiting, for changes that the followed hosts do not have."""
+        with self.lock:
+            address = self.view.random_member(self.random)
+        if address is not None:
+            self.query_once(address, members_only=False)
+
+    def query_once(self, address: str, *, members_only: bool) -> None:
+        """Query a host on a connection of its own, without waiting for a change."""
+        connection = HttpConnection(address=address)
         try:
             self.apply_reply(
                 self.poll_feed(
-                    connection,
-                    source="",
-                    after=0,
-                    wait_s=0.0,
-                    members_only=self.registry.complete,
+                    connection, source="", after=0, wait_s=0.0, members_only=members_only
                 )
             )
         except Exception as error:
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -14,6 +14,11 @@
 
 from returns.result import Success
 
+from rhubarbway.decisions.copy_freshness import (
+    CONFIRMATION_FRACTION,
+    RELAY_FRACTION,
+    is_stale,
+)
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
@@ -29,8 +34,9 @@
     from rhubarbway.services.fleet import FleetService
 
 # Longest wait of a watch for a change, seconds. Longer waits save calls, each of which is charged
-# for, but a store that stops answering is detected only after this time. All documented time limits
-# must hold again 4 s after an outage, so a watch that began during it must have ended by then.
+# for. The first reader waits less, so that the store confirms the copies often enough to tell stale
+# ones apart. All documented time limits must hold again 4 s after an outage, so a watch that began
+# during it must have ended by then.
 WATCH_WAIT_S = 3.0
 # Longest wait of a watch while the store has not answered recently, seconds. Short, so that the
 # return of the store is detected within a second.
@@ -50,6 +56,9 @@
 # Delay after a failed call, seconds; it doubles with each failure up to the maximum.
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
+# Time for which a host that could not reach the store, and no longer reads it, is not chosen as a
+# reader, seconds. Other hosts are tried meanwhile.
+BLINDNESS_S = 10.0
 # Interval at which a host checks whether it has become a reader, seconds.
 ROLE_CHECK_INTERVAL_S = 0.1
 # Interval of that check while the host has no copy and callers may wait, seconds.
@@ -136,6 +145,7 @@
         "apply_limit_s",
         "confirmation_listeners",
         "confirmed_at",
+        "confirmation_relayed",
         "copy_is_stale",
         "condition",
         "client",
@@ -156,6 +166,7 @@
         "servers",
         "stopping",
         "store_answered_at",
+        "store_failed_at",
         "store_copy",
         "store_reachable",
     )
@@ -167,7 +178,9 @@
         # Time within which a change of the store must be in force here, seconds.
         self.apply_limit_s = apply_limit_s
         self.confirmed_at = float("-inf")
-        # Whether the copy was older than ``apply_limit_s`` when its age was last checked.
+        # The newest confirmation that waiting followers were told at once.
+        self.confirmation_relayed = float("-inf")
+        # Whether the copy was stale when its age was last checked.
         self.copy_is_stale = False
         # Called with the age of each new confirmation, seconds.
         self.confirmation_listeners: list[Callable[[float], None]] = []
@@ -177,6 +190,8 @@
         self.complete = False
         # When the store last answered this host; -inf if the last call failed.
         self.store_answered_at = float("-inf")
+        # When a call of this host to the store last failed.
+        self.store_failed_at = float("-inf")
         # Whether followers are answered without waiting for a change.
         self.follower_waits_ended = False
         # When waiting followers were last answered without a change.
@@ -219,7 +234,8 @@
         history_gone = False
         while not self.stopping.is_set():
             self.report_copy_age()
-            if not self.fleet.is_reader(has_copy=self.complete):
+            if not self.fleet.is_reader(has_copy=self.complete, copy_age_s=self.copy_age_s()):
+                self.forget_blindness()
                 self.stopping.wait(
                     ROLE_CHECK_INTERVAL_S if self.complete else START_CHECK_INTERVAL_S
                 )
@@ -271,6 +287,8 @@
         """Wait for changes of the store and apply them."""
         answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
         wait_s = WATCH_WAIT_S if answered_recently else OUTAGE_WATCH_WAIT_S
+        if self.fleet.is_first_reader():
+            wait_s = min(wait_s, CONFIRMATION_FRACTION * self.apply_limit_s)
         if self.deferred_deletions:
             # Ends the watch when the deferral ends, since the deletions are applied after a watch.
             wait_s = max(0.1, min(wait_s, self.defer_deletions_until - time.monotonic()))
@@ -342,7 +360,10 @@
                 self.confirmed_at = confirmed_at
                 for listener in self.confirmation_listeners:
                     listener(time.monotonic() - confirmed_at)
-            if self.store_copy.sequence > sequence_before:
+            relay_step_s = RELAY_FRACTION * self.apply_limit_s
+            is_news = self.confirmed_at >= self.confirmation_relayed + relay_step_s
+            if self.store_copy.sequence > sequence_before or is_news:
+                self.confirmation_relayed = self.confirmed_at
                 self.condition.notify_all()
 
     def apply_store_changes(
@@ -366,14 +387,27 @@
             settled_revision=0 if self.deferred_deletions else revision,
         )
 
+    def forget_blindness(self) -> None:
+        """Let a host that no longer reads the store be chosen as a reader again after some time."""
+        if time.monotonic() > self.store_failed_at + BLINDNESS_S:
+            self.fleet.set_blind(False)
+
+    def copy_age_s(self) -> float:
+        """Return the time since the store last confirmed the copy, seconds; inf without one."""
+        return time.monotonic() - self.confirmed_at
+
+    def is_copy_stale(self) -> bool:
+        """Return whether the copy is complete, but may lack a change for too long."""
+        return self.complete and is_stale(self.copy_age_s(), apply_limit_s=self.apply_limit_s)
+
     def report_copy_age(self) -> None:
-        """Log when the copy becomes older than the time in which changes must be in force."""
-        age_s = time.monotonic() - self.confirmed_at
-        is_stale = self.complete and age_s > self.apply_limit_s
-        if is_stale == self.copy_is_stale:
+        """Log when the copy becomes stale, and when it is current again."""
+        age_s = self.copy_age_s()
+        stale = self.is_copy_stale()
+        if stale == self.copy_is_stale:
             return
-        self.copy_is_stale = is_stale
-        if is_stale:
+        self.copy_is_stale = stale
+        if stale:
             self.log.warning(
                 "Copy of the store is stale.",
                 age_s=round(age_s, 2),
@@ -580,6 +614,7 @@
     def record_store_failure(self, error: StoreError) -> None:
         """Record that a call of the store failed."""
         self.store_answered_at = float("-inf")
+        self.store_failed_at = time.monotonic()
         if not self.store_reachable:
             return
         self.store_reachable = False
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -30,10 +30,15 @@
     """Copy of the store without items or changes."""
 
     complete = True
+    apply_limit_s = 3.0
+    stale = False
 
     def apply_changes(self, items, **details):
         pass
 
+    def is_copy_stale(self):
+        return self.stale
+
     def settled_revision(self):
         return 1
 
@@ -106,6 +111,42 @@
         assert contacted.count("10.0.0.9:1") >= 2
         assert contacted.count("10.0.0.2:1") > contacted.count("10.0.0.9:1")
 
+    def test_a_host_with_a_stale_copy_asks_other_hosts_for_changes(self, fleet, monkeypatch):
+        """Guards against hosts that stay with followed hosts whose copies are as old as theirs."""
+        asked = []
+
+        def poll_feed(self, connection, *, source, after, wait_s=1.0, members_only=False):
+            if wait_s == 0.0:
+                asked.append((connection.address, members_only))
+            time.sleep(0.01)
+            return feed_wire.FeedReply(
+                sender=wire_member(2),
+                after=1,
+                revision=1,
+                whole=False,
+                complete=True,
+                items=[],
+                members=[],
+            )
+
+        monkeypatch.setattr(FleetService, "poll_feed", poll_feed)
+        monkeypatch.setattr(module, "STALE_REJOIN_INTERVAL_S", 0.05)
+        fleet.registry.stale = True
+        for number in (2, 3):
+            fleet.view.merge(feed_wire.member_from_wire(wire_member(number), now=time.monotonic()))
+        task = Thread(target=fleet.follow, args=(0,))
+        task.start()
+        end = time.monotonic() + TIMEOUT_S
+        while len(asked) < 3 and time.monotonic() < end:
+            time.sleep(0.01)
+        fleet.stopping.set()
+        task.join()
+        assert len(asked) >= 3
+        assert all(
+            address in ("10.0.0.2:1", "10.0.0.3:1") and not members_only
+            for address, members_only in asked
+        )
+
 
 class TestMembersForFollowed:
     def send_request(self, fleet, *members):
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -1,9 +1,11 @@
 """Tests of how a reader applies the store's changes, without a network."""
 
 import time
+from threading import Thread
 
 import msgspec
 
+from rhubarbway.decisions.copy_freshness import STALE_FRACTION
 from rhubarbway.model import StoreItem
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
 from rhubarbway.services.registry import WATCH_WAIT_S, RegistryService
@@ -15,6 +17,7 @@
     """Stands in for the services that the registry calls; records the servers in use."""
 
     def __init__(self):
+        self.first_reader = False
         self.removed = []
         self.in_use = set()
 
@@ -29,6 +32,9 @@
     def set_blind(self, blind):
         return None
 
+    def is_first_reader(self):
+        return self.first_reader
+
 
 class LineRecorder:
     """Stands in for a logger; records the texts of the lines."""
@@ -254,6 +260,36 @@
         assert (kinds, len(warnings)) == (["server"] * 150, 50)
 
 
+class TestConfirmations:
+    def test_the_first_reader_is_answered_often_enough_to_confirm_all_copies(self):
+        """Guards against copies that count as stale between two watches."""
+        filled = FilledRegistry()
+        registry, client = filled.registry, FakeStoreClient()
+        registry.client = client
+        filled.recorder.first_reader = True
+        registry.record_store_answer()
+        registry.watch_store()
+        assert client.requested_waits_s[-1] < STALE_FRACTION * registry.apply_limit_s
+
+    def test_a_newer_confirmation_reaches_waiting_followers_at_once(self):
+        """Guards against a copy that seems older at each host between it and the store."""
+        registry = FilledRegistry().registry
+        registry.confirmed_at = registry.confirmation_relayed = time.monotonic() - 1.0
+        sequence = registry.store_copy.sequence
+        received = []
+        follower = Thread(
+            target=lambda: received.append(registry.wait_for_changes(after=sequence, wait_s=5.0))
+        )
+        follower.start()
+        while not registry.condition._waiters:
+            time.sleep(0.01)
+        registry.apply_changes(
+            [], revision=100, whole=False, complete=True, source="h", confirmed_at=time.monotonic()
+        )
+        follower.join(timeout=2.0)
+        assert received and received[0].confirmed_at == registry.confirmed_at
+
+
 class TestDeletionsDeferredElsewhere:
     def test_a_new_reader_defers_them_too(self):
         """Guards against entries that lapsed in an outage and that a new reader removes at once.
