Reproduce the load of the feed on the link of a host at the top of a zone

The log of the feed's traffic shows 1.1 to 1.9 MB/s at such hosts of the large site, over links of 1.25 MB/s. The test sends 100 changed entries to one follower from both hosts that it follows: 54 KB, 2.2 MB for 40 followers, where half of the link is 0.6 MB.

--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -317,25 +317,79 @@
     return service
 
 
+def poll(follower, followed, *, source="", after=0):
+    """Let one host poll another one, without a network; return the reply and its size."""
+    sizes = []
+
+    class Connection:
+        address = followed.listen
+
+        def exchange(self, method, path, *, headers, body, timeout_s, connect_timeout_s):
+            lines = dict(line.split(": ", 1) for line in headers)
+            builder = EnvironBuilder(method=method, path=path, data=body, headers=lines)
+            response = followed.respond(builder.get_request())
+            data = response.get_data()
+            sizes.append(len(data))
+            fields = tuple((name.lower(), value) for name, value in response.headers)
+            return HttpReply(status=response.status_code, body=data, headers=fields)
+
+    reply = follower.poll_feed(Connection(), source=source, after=after, wait_s=0.0)
+    return reply, sizes[0]
+
+
+def server_item(number, *, revision):
+    """Return an entry of the size that servers of the large site have."""
+    value = {
+        "service": f"wu{number * 7919 % 997:x}y",
+        "address": f"10.{number % 5 + 1}.64.{number % 250}:{8000 + number % 9}",
+        "zone": f"zone-{number % 5}",
+        "slots": 3,
+        "state": "ready",
+        "born": 1_774_000_000_000 + number * 7919,
+        "sequence": number * 31,
+        "warmupLeftMs": 0,
+        "version": 1,
+    }
+    key = f"servers/i-{number * 2654435761 % 2**40:010x}"
+    return StoreItem(key=key, value=json.dumps(value).encode(), revision=revision)
+
+
+class TestTraffic:
+    # The smallest link of a host on the large site, the hosts that follow the first host of a zone
+    # there, and the entries that change in a second while an index is replaced.
+    LINK_BYTES_PER_S = 10_000_000 / 8
+    FOLLOWERS = 40
+    CHANGES_PER_S = 100
+
+    def test_a_burst_of_changes_to_all_followers_takes_half_of_the_smallest_link(self):
+        """Guards against hosts at the top of a zone that cannot be reached, because sending the
+        changes of servers to all their followers fills their link for seconds.
+        """
+        items = [server_item(number, revision=number + 1) for number in range(500)]
+        first, second, follower = (fleet_with_copy(n, items, revision=500) for n in (1, 2, 3))
+        changes = [
+            server_item(number, revision=501 + number) for number in range(self.CHANGES_PER_S)
+        ]
+        positions = [poll(follower, host)[0] for host in (first, second)]
+        sent = 0
+        for host, position in zip((first, second), positions, strict=True):
+            host.registry.apply_store_changes(changes, revision=600, whole=False)
+            reply, size = poll(
+                follower, host, source=position.sender.incarnation, after=position.after
+            )
+            follower.apply_reply(reply)
+            sent += size
+        assert len(follower.registry.store_copy.items) == 500
+        assert follower.registry.store_copy.settled_revision == 600
+        assert sent * self.FOLLOWERS < self.LINK_BYTES_PER_S / 2
+
+
 class TestChangeOfTheFollowedHost:
     ITEMS = tuple(
         StoreItem(key=f"servers/i-{number}", value=b"{}", revision=number + 1)
         for number in range(200)
     )
 
-    def poll(self, follower, followed, *, source="", after=0):
-        """Let one host poll another one, without a network, and return the reply."""
-
-        class Connection:
-            address = followed.listen
-
-            def exchange(self, method, path, *, headers, body, timeout_s, connect_timeout_s):
-                builder = EnvironBuilder(method=method, path=path, data=body)
-                response = followed.respond(builder.get_request())
-                return HttpReply(status=response.status_code, body=response.get_data())
-
-        return follower.poll_feed(Connection(), source=source, after=after, wait_s=0.0)
-
     def test_a_host_with_a_copy_gets_the_changes_only(self):
         """Guards against hosts that all request whole copies from a host that is already slow.
 
@@ -346,7 +400,7 @@
         change = StoreItem(key="servers/i-3", value=b"[]", revision=201)
         followed = fleet_with_copy(2, self.ITEMS, revision=200)
         followed.registry.apply_store_changes([change], revision=201, whole=False)
-        reply = self.poll(follower, followed)
+        reply, _ = poll(follower, followed)
         assert not reply.whole
         assert [item.key for item in reply.items] == ["servers/i-3"]
         follower.apply_reply(reply)
@@ -357,5 +411,5 @@
         followed = fleet_with_copy(2, self.ITEMS, revision=200)
         starting = fleet_with_copy(1, (), revision=0)
         starting.registry = RegistryService(make_client=lambda: None)
-        reply = self.poll(starting, followed)
+        reply, _ = poll(starting, followed)
         assert reply.whole and len(reply.items) == 200
