Refuse late requests of a stopping host that would be cut, and answer the others in time

Callers of a host that stopped as planned got no answer to requests that it had taken late in the grace period: it forwarded them and closed their connections at the end, also those that may not be repeated. Shown with a gateway process whose server takes 0.9 s, 0.44 s before the cut: 'Remote end closed connection without response' for an unsafe and a safe request.

After the stop signal a request that may not be repeated is taken only if its whole time limit passes before the cut, any other if its target latency does; it is refused unsent with a time to come back otherwise. What is taken has to be answered shortly before the cut. Both cases failed before and pass now: 503 without an arrival at a server, and 504.

--- a/proofs/test_gateway_processes.py
+++ b/proofs/test_gateway_processes.py
@@ -14,6 +14,7 @@
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import (
     BOARD_SERVICE,
+    BOOKING_PREFIX,
     SEARCH_PREFIX,
     SINGLE_PREFIX,
     VIRTUAL_HOST,
@@ -68,6 +69,36 @@
         assert gateways.processes[0].process.wait(timeout=5) == 0
         assert time.monotonic() - started_at < gateways.settings[0].grace_s
 
+    @pytest.mark.parametrize(
+        ("prefix", "method", "status", "runs"),
+        [(BOOKING_PREFIX, "POST", 503, False), (SINGLE_PREFIX, "GET", 504, True)],
+        ids=["unsafe", "safe"],
+    )
+    def test_a_request_late_in_the_grace_period_gets_a_complete_answer(
+        self, tmp_path, prefix, method, status, runs
+    ):
+        """Guards against requests that are taken late in the grace period and cut at its end.
+
+        The route's time limit passes after the cut. So a request that may not be repeated is
+        refused unsent, and any other is answered before the cut.
+        """
+        site = Site(ports=free_ports())
+        with (
+            site,
+            GatewayProcesses(
+                site=site, directory=tmp_path, count=1, leave_notice_s=1.5, grace_s=2.0
+            ) as gateways,
+        ):
+            for replica in site.replicas_of(BOARD_SERVICE):
+                replica.service_time_s = 0.9
+            gateways.processes[0].send_signal(signal.SIGTERM)
+            time.sleep(1.3)
+            reply = send_once(
+                gateways.addresses[0], host=VIRTUAL_HOST, target=f"{prefix}1", method=method
+            )
+            assert reply.status == status, reply.error
+            assert any(arrival.service == BOARD_SERVICE for arrival in site.arrivals) is runs
+
     def test_a_host_that_stops_reports_not_ready_and_still_answers(self, gateways):
         """Guards against a stopping host that reports ready, or fails requests that still reach
         it.
--- /dev/null
+++ b/src/rhubarbway/decisions/late_requests.py
@@ -0,0 +1,30 @@
+"""Requests that reach a host after it has begun to stop.
+
+All times are ``time.monotonic()`` instants in seconds. At ``cut_at`` the host closes the
+connections on which requests still run.
+"""
+
+from __future__ import annotations
+
+from rhubarbway.model import ForwardedRequest, Route
+
+# Time between the last answer of a stopping host and the cut, seconds. A host with a fraction of a
+# core needs a part of it to write the answer.
+ANSWER_WRITE_S = 0.15
+
+
+def answer_deadline(cut_at: float) -> float:
+    """Return the instant at which a request that came after the stop signal must be answered."""
+    return cut_at - ANSWER_WRITE_S
+
+
+def fits_before_cut(request: ForwardedRequest, route: Route, *, cut_at: float) -> bool:
+    """Return whether a stopping host may begin a request.
+
+    A request that must not be repeated needs its whole time limit, since it may have run when it is
+    given up. Any other needs the route's target latency; its caller may send it again.
+    """
+    limit_at = min(request.deadline, request.received_at + route.timeout_s)
+    target_at = request.received_at + route.target_latency_s
+    needed_until = min(limit_at, target_at) if route.idempotent else limit_at
+    return needed_until <= answer_deadline(cut_at)
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -5,11 +5,14 @@
 import threading
 import time
 from collections.abc import Callable
+from random import Random
 
 import h11
 from returns.result import Result, Success
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.decisions.forward_answers import refusal
+from rhubarbway.decisions.late_requests import answer_deadline, fits_before_cut
 from rhubarbway.edge.addresses import parse_address
 from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer
 from rhubarbway.kernel import Kernel
@@ -49,6 +52,7 @@
     """
 
     __slots__ = (
+        "cut_at",
         "decode",
         "delegation",
         "encode",
@@ -60,6 +64,7 @@
         "log",
         "max_connections",
         "notice_s",
+        "random",
         "ready_listen",
         "ready_server",
         "registry",
@@ -86,6 +91,9 @@
         self.decode = decode
         self.encode = encode
         self.leaving = threading.Event()
+        # When connections with requests in flight are closed; known once the host leaves.
+        self.cut_at = float("inf")
+        self.random = Random()
         self.log = component_logger("gateway")
         self.delegation: DelegationService
         self.fleet: FleetService
@@ -123,14 +131,13 @@
 
     def stop(self) -> None:
         """Report not ready, keep serving for the notice period, then finish requests in flight."""
-        stop_started_at = time.monotonic()
+        self.cut_at = time.monotonic() + GRACE_FRACTION * self.grace_s
         self.leaving.set()
         self.fleet.mark_leaving()
         self.server.disable_keep_alive()
         self.log.info("Leaving.", notice_s=self.notice_s)
         threading.Event().wait(self.notice_s)
-        remaining_s = stop_started_at + GRACE_FRACTION * self.grace_s - time.monotonic()
-        cut = self.server.stop(grace_s=remaining_s)
+        cut = self.server.stop(grace_s=self.cut_at - time.monotonic())
         self.ready_server.stop(grace_s=0.1)
         self.log.info("Closed.", connections_cut=cut)
 
@@ -161,7 +168,9 @@
             return self.respond_to_bad_request(400, result.failure())
         forwarded = result.unwrap()
         try:
-            answer = self.delegation.answer(forwarded, sock=request.environ[SOCKET_KEY])
+            answer = self.refuse_late(forwarded) or self.delegation.answer(
+                forwarded, sock=request.environ[SOCKET_KEY]
+            )
         except Exception:
             self.log.exception("Internal error in a request.", request_id=forwarded.request_id)
             answer = ForwardedAnswer(status=500, detail="internal error")
@@ -171,6 +180,21 @@
         self.forwarding.record_processing_time(answer)
         return response
 
+    def refuse_late(self, request: ForwardedRequest) -> ForwardedAnswer | None:
+        """Refuse a request that a stopping host cannot answer before it closes its connections.
+
+        Any other request on a stopping host has to be answered by then, and None is returned.
+        """
+        if not self.leaving.is_set():
+            return None
+        current = self.routing.in_force
+        route = current.index.match(request.host, request.path) if current else None
+        if route is not None and not fits_before_cut(request, route, cut_at=self.cut_at):
+            self.log.info("Request refused: the host stops.", request_id=request.request_id)
+            return refusal("this host stops", random=self.random)
+        request.deadline = min(request.deadline, answer_deadline(self.cut_at))
+        return None
+
     def respond_to_bad_request(self, status: int, detail: str) -> Response:
         """Return the answer to a request that is rejected before it is forwarded."""
         self.log.info("Request rejected.", status=status, detail=detail[:200])
--- a/src/rhubarbway_standins/platform/gateways.py
+++ b/src/rhubarbway_standins/platform/gateways.py
@@ -28,12 +28,21 @@
         Number of gateways to start.
     cores : sequence of float
         Processor of each gateway that its settings state; one core for the others.
+    leave_notice_s, grace_s : float
+        The settings of these names, seconds.
     """
 
     __slots__ = ("directory", "processes", "settings", "site")
 
     def __init__(
-        self, *, site: Site, directory: Path, count: int, cores: Sequence[float] = ()
+        self,
+        *,
+        site: Site,
+        directory: Path,
+        count: int,
+        cores: Sequence[float] = (),
+        leave_notice_s: float = 0.3,
+        grace_s: float = 4.0,
     ) -> None:
         self.site = site
         self.directory = directory
@@ -43,8 +52,8 @@
             seeds = [known.peer_listen for known in self.settings[:2]]
             zone = ZONES[number % len(ZONES)]
             settings = site.settings(f"gateway-{number}", zone=zone, seeds=seeds)
-            settings.leave_notice_s = 0.3
-            settings.grace_s = 4.0
+            settings.leave_notice_s = leave_notice_s
+            settings.grace_s = grace_s
             settings.log_level = "info"
             settings.cpu_speed = cores[number] if number < len(cores) else 1.0
             self.settings.append(settings)
