Recognise a compressed reply of the feed whatever the case of its header names

The unit test had lowered the names itself; it now passes them on as they are. A test over sockets in which a new host gets a copy of 200 entries from another one failed before.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -438,6 +438,18 @@
             wait_until(lambda: fleet.knows_all_replicas(kernel))
             assert time.monotonic() - started_at < 0.5
 
+    def test_a_host_gets_a_large_copy_from_another_host(self):
+        """Guards against replies to other hosts that are compressed and not understood."""
+        with GatewayFleet(hosts=1) as fleet:
+            for number in range(200):
+                fleet.site.store.put(f"servers/odd-{number:03}", b"x" * 50)
+            copy = fleet.kernels[0].find(REGISTRY).store_copy
+            wait_until(lambda: len(copy.items) > 200)
+            fleet.site.store.set_mode(StoreMode.REFUSING)
+            added = fleet.add_gateway().find(REGISTRY)
+            wait_until(lambda: added.complete, timeout_s=4.0)
+            assert added.store_copy.items.keys() == copy.items.keys()
+
     def test_a_version_reaches_hosts_that_the_store_refuses(self):
         """Guards against a host without a configuration that other hosts have, while the store
         refuses it.
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -342,7 +342,8 @@
         if reply.status != 200:
             raise feed_wire.FeedError(f"HTTP status {reply.status} instead of 200")
         body = reply.body
-        if ("content-encoding", feed_wire.CONTENT_CODING) in reply.headers:
+        codings = [value for name, value in reply.headers if name.lower() == "content-encoding"]
+        if codings == [feed_wire.CONTENT_CODING]:
             body = feed_wire.decompress_value(body)
         return feed_wire.reply_from_json(body)
 
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -347,8 +347,9 @@
             response = followed.respond(builder.get_request())
             data = response.get_data()
             sizes.append(len(data))
-            fields = tuple((name.lower(), value) for name, value in response.headers)
-            return HttpReply(status=response.status_code, body=data, headers=fields)
+            return HttpReply(
+                status=response.status_code, body=data, headers=tuple(response.headers.items())
+            )
 
     reply = follower.poll_feed(Connection(), source=source, after=after, wait_s=0.0)
     return reply, sizes[0]
