Report connections that carry bytes their task has not sent

A caller got eight bytes in place of a status line, and neither logs nor metrics could tell whether this process had written them or had received and passed them on. The task of each connection now counts the bytes it sends and compares them with the kernel's count; a difference breaks the invariant only_own_bytes_sent, which names the side and both numbers.

--- a/src/rhubarbway/edge/addresses.py
+++ b/src/rhubarbway/edge/addresses.py
@@ -18,3 +18,14 @@
     """
     host, _, port = text.rpartition(":")
     return host, int(port)
+
+
+def format_address(address: tuple[str, int]) -> str:
+    """Return ``HOST:PORT``, the reverse of ``parse_address``.
+
+    Examples
+    --------
+    >>> format_address(("10.0.0.1", 80))
+    '10.0.0.1:80'
+    """
+    return f"{address[0]}:{address[1]}"
--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -14,13 +14,14 @@
 import time
 from collections.abc import Sequence
 
-from rhubarbway.edge.addresses import parse_address
+from rhubarbway.edge.addresses import format_address, parse_address
 from rhubarbway.edge.http_client import CallError, Reply
 from rhubarbway.edge.response_reader import (
     ResponseError,
     ResponseReader,
     TruncatedResponseError,
 )
+from rhubarbway.edge.sent_bytes import ReportMismatch, SentBytes, ignore_mismatch
 
 RECEIVE_BYTES = 65_536
 
@@ -47,6 +48,8 @@
     ----------
     address : str
         ``HOST:PORT``.
+    report_mismatch : callable
+        Called when a connection closes that carries other bytes than were sent on it.
     """
 
     __slots__ = (
@@ -56,12 +59,16 @@
         "deadline",
         "lock",
         "poll",
+        "report_mismatch",
         "sent",
+        "sent_bytes",
         "sock",
     )
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, report_mismatch: ReportMismatch = ignore_mismatch) -> None:
         self.address = parse_address(address)
+        self.report_mismatch = report_mismatch
+        self.sent_bytes = SentBytes()
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
         self.poll = select.poll()
@@ -169,6 +176,7 @@
             if sock is not None:
                 return sock
             sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.sent_bytes = SentBytes()
         remaining_s = self.deadline - time.monotonic()
         if connect_timeout_s is not None:
             remaining_s = min(remaining_s, connect_timeout_s)
@@ -192,6 +200,7 @@
                 self.wait(select.POLLOUT)
                 continue
             self.sent = True
+            self.sent_bytes.count += count
             data = data[count:]
 
     def send_acknowledged(
@@ -282,6 +291,7 @@
         if sock is not None:
             with contextlib.suppress(KeyError):
                 self.poll.unregister(sock)
+            self.sent_bytes.compare(sock, format_address(self.address), self.report_mismatch)
             sock.close()
 
 
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -20,6 +20,7 @@
 import h11
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.edge.sent_bytes import ReportMismatch, SentBytes, ignore_mismatch
 from rhubarbway.model import CallerLimits
 
 HEADER_LIMIT_BYTES = 16 * 1024
@@ -70,15 +71,17 @@
     """The state of one accepted connection.
 
     ``busy`` is true from the first byte of a request to the end of its reply. ``poll`` waits for
-    data on the socket and for the stop signal of the server.
+    data on the socket and for the stop signal of the server. ``sent`` counts the bytes that the
+    task of the connection has sent.
     """
 
-    __slots__ = ("busy", "peer", "poll", "sock")
+    __slots__ = ("busy", "peer", "poll", "sent", "sock")
 
     def __init__(self, *, sock: socket.socket, peer: str, stop_signal: socket.socket) -> None:
         self.sock = sock
         self.peer = peer
         self.busy = False
+        self.sent = SentBytes()
         self.poll = select.poll()
         self.poll.register(sock, select.POLLIN)
         self.poll.register(stop_signal, select.POLLIN)
@@ -104,6 +107,8 @@
     limits : callable
         Returns the limits. Called before each request is read, and when a connection opens: the
         limit on a head that arrives in several reads stays that of the opening.
+    report_mismatch : callable
+        Called with the peer of a connection that carries other bytes than the server has sent.
     """
 
     __slots__ = (
@@ -119,6 +124,7 @@
         "listener",
         "lock",
         "max_connections",
+        "report_mismatch",
         "stop_signal",
         "stop_trigger",
         "stopping",
@@ -133,8 +139,10 @@
         max_connections: int,
         name: str,
         limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+        report_mismatch: ReportMismatch = ignore_mismatch,
     ) -> None:
         self.limits = limits
+        self.report_mismatch = report_mismatch
         self.handler = handler
         self.error_handler = error_handler
         self.max_connections = max_connections
@@ -226,6 +234,7 @@
         except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
             pass
         finally:
+            state.sent.compare(state.sock, state.peer, self.report_mismatch)
             state.sock.close()
             with self.lock:
                 self.connections.discard(state)
@@ -292,9 +301,8 @@
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 if connection.they_are_waiting_for_100_continue:
-                    state.sock.sendall(
-                        connection.send(h11.InformationalResponse(status_code=100, headers=[]))
-                    )
+                    interim = h11.InformationalResponse(status_code=100, headers=[])
+                    state.sent.send_all(state.sock, connection.send(interim))
                 data = self.receive(state, deadline)
                 if data and not state.busy:
                     state.busy = True
@@ -358,7 +366,8 @@
         data = connection.send(h11.Response(status_code=response.status_code, headers=headers))
         data += connection.send(h11.Data(data=body)) if body else b""
         data += connection.send(h11.EndOfMessage())
-        state.sock.sendall(data)
+        state.sent.send_all(state.sock, data)
+        state.sent.compare(state.sock, state.peer, self.report_mismatch)
         return keep_alive and connection.our_state is h11.DONE
 
     def disable_keep_alive(self) -> None:
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -37,7 +37,7 @@
 from rhubarbway.services.fleet import FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.gateway import GatewayService
-from rhubarbway.services.invariants import InvariantService
+from rhubarbway.services.invariants import InvariantService, mismatch_reporter
 from rhubarbway.services.log import LogService, component_logger
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.metrics_endpoint import MetricsEndpoint
@@ -99,7 +99,7 @@
     kernel = Kernel()
     kernel.register(LOG, LogService(level=settings.log_level))
     metrics = kernel.register(METRICS, MetricsService())
-    kernel.register(INVARIANTS, InvariantService())
+    expect = kernel.register(INVARIANTS, InvariantService()).expect
     kernel.register(CRASHING_REQUESTS, CrashingRequestService())
     kernel.register(ROUTING, RoutingService())
     codec = ServerCodec(
@@ -114,6 +114,7 @@
             cores=settings.cores,
         ),
     )
+    servers.tasks.report_mismatch = mismatch_reporter(expect, side="server")
     forwarding = kernel.register(
         FORWARDING, ForwardingService(zone=settings.zone, budget=build_retry_budget(settings))
     )
@@ -134,6 +135,7 @@
         cores=settings.cores,
     )
     fleet.feed_reply_listeners.append(metrics.count_feed_reply)
+    fleet.report_mismatch = mismatch_reporter(expect, side="host")
     kernel.register(FLEET, fleet)
     kernel.register(DELEGATION, DelegationService(cores=settings.cores, wire=DELEGATION_WIRE))
     fleet.host_count_listeners += [
@@ -155,6 +157,7 @@
             max_connections=settings.max_connections,
             decode=request_from_http,
             encode=response_to_http,
+            report_mismatch=mismatch_reporter(expect, side="caller"),
         ),
     )
     return kernel
--- a/src/rhubarbway/services/connection_tasks.py
+++ b/src/rhubarbway/services/connection_tasks.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.services.log import component_logger
 
 if TYPE_CHECKING:
@@ -62,12 +63,24 @@
         The idle connections, the one used longest ago first.
     waiting : deque of tuple
         Pool and first attempt of the connections that wait for a task.
+    report_mismatch : callable
+        Called for a connection that carries other bytes than its task has sent.
     """
 
-    __slots__ = ("executor", "idle", "limit", "lock", "log", "running", "waiting")
+    __slots__ = (
+        "executor",
+        "idle",
+        "limit",
+        "lock",
+        "log",
+        "report_mismatch",
+        "running",
+        "waiting",
+    )
 
     def __init__(self, *, limit: int) -> None:
         self.limit = limit
+        self.report_mismatch: ReportMismatch = ignore_mismatch
         self.running = 0
         self.idle: dict[ServerConnection, ServerPool] = {}
         self.waiting: deque[tuple[ServerPool, ServerAttempt | None]] = deque()
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -27,6 +27,7 @@
     REQUEST_TIMEOUT_S,
     HttpServer,
 )
+from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits
 from rhubarbway.services.crashing_requests import CrashingRequestService
@@ -100,6 +101,7 @@
         "random",
         "read_store_at",
         "registry",
+        "report_mismatch",
         "seeds",
         "sent_to_followed_at",
         "sent_to_follower",
@@ -144,6 +146,8 @@
         self.host_count_listeners: list[Callable[[int], None]] = []
         # Called with the content and size of each reply to another host.
         self.feed_reply_listeners: list[Callable[..., None]] = []
+        # Called for a follower's connection that carries other bytes than its task has sent.
+        self.report_mismatch: ReportMismatch = ignore_mismatch
         self.feed_traffic = FeedTraffic(now=now)
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -172,6 +176,7 @@
             max_connections=MAX_PEER_CONNECTIONS,
             name="peers",
             limits=lambda: PEER_LIMITS,
+            report_mismatch=self.report_mismatch,
         )
         self.server.start()
         for slot in range(MAX_FOLLOWED_HOSTS):
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -15,6 +15,7 @@
 from rhubarbway.decisions.late_requests import answer_deadline, fits_before_cut
 from rhubarbway.edge.addresses import parse_address
 from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer
+from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits, ForwardedAnswer, ForwardedRequest
 from rhubarbway.services.delegation import DelegationService
@@ -49,6 +50,8 @@
         Maximum number of caller connections at a time.
     decode, encode : callable
         Decoder of requests and encoder of answers.
+    report_mismatch : callable
+        Called for a caller's connection that carries other bytes than its task has sent.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "ready_listen",
         "ready_server",
         "registry",
+        "report_mismatch",
         "routing",
         "server",
     )
@@ -82,7 +86,9 @@
         max_connections: int,
         decode: DecodeRequest,
         encode: EncodeAnswer,
+        report_mismatch: ReportMismatch = ignore_mismatch,
     ) -> None:
+        self.report_mismatch = report_mismatch
         self.listen = listen
         self.ready_listen = ready_listen
         self.notice_s = notice_s
@@ -117,6 +123,7 @@
             max_connections=self.max_connections,
             name="gateway",
             limits=self.limits,
+            report_mismatch=self.report_mismatch,
         )
         self.ready_server = HttpServer(
             address=parse_address(self.ready_listen),
--- a/src/rhubarbway/services/invariants.py
+++ b/src/rhubarbway/services/invariants.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from rhubarbway.edge.sent_bytes import ReportMismatch
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.metrics import MetricsService
@@ -29,6 +30,23 @@
         raise BrokenInvariant(f"{name}: {details}")
 
 
+def mismatch_reporter(expect: Expect, *, side: str) -> ReportMismatch:
+    """Return a function that reports a connection with bytes that its task has not sent.
+
+    Parameters
+    ----------
+    expect : callable
+        Reports an invariant that does not hold.
+    side : str
+        Who is at the other end of the connection: ``caller``, ``host`` or ``server``.
+    """
+
+    def report(peer: str, sent: int, counted: int) -> None:
+        expect(False, "only_own_bytes_sent", side=side, peer=peer, sent=sent, counted=counted)
+
+    return report
+
+
 class InvariantService:
     """Counts and logs broken invariants; checks are cheap, and a failed one changes no decision."""
 
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -12,6 +12,7 @@
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
 from rhubarbway.edge.exchange_connection import ExchangeConnection
 from rhubarbway.edge.http_client import CallError, Reply
+from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.model import (
     BackendServer,
     ExchangeEnd,
@@ -75,8 +76,8 @@
 
     __slots__ = ("http", "inbox", "reusable_until")
 
-    def __init__(self, *, address: str) -> None:
-        self.http = ExchangeConnection(address=address)
+    def __init__(self, *, address: str, report_mismatch: ReportMismatch = ignore_mismatch) -> None:
+        self.http = ExchangeConnection(address=address, report_mismatch=report_mismatch)
         self.inbox: queue.SimpleQueue[ServerAttempt | None] = queue.SimpleQueue()
         self.reusable_until = float("inf")
 
@@ -251,7 +252,9 @@
 
         Without a first attempt, the task opens the connection and waits for an attempt.
         """
-        connection = ServerConnection(address=self.server.address)
+        connection = ServerConnection(
+            address=self.server.address, report_mismatch=self.tasks.report_mismatch
+        )
         attempt = first_attempt
         if attempt is None:
             self.connect(connection)
