Reproduce the event bytes on a descriptor that is in use again

The test holds the write of a wake-up back until the inbox is closed and 40 socket pairs are open, so the interleaving does not depend on chance.

--- a/src/rhubarbway/services/tests/test_caller_inbox.py
+++ b/src/rhubarbway/services/tests/test_caller_inbox.py
@@ -1,6 +1,8 @@
 """Tests of the inbox that receives the outcomes for a forwarded request."""
 
 import os
+import queue
+import select
 import socket
 import threading
 import time
@@ -123,6 +125,72 @@
         assert left == 0
 
 
+class HeldWrite:
+    """Stand-in for ``os.eventfd_write`` whose call waits, as a task without a processor does."""
+
+    def __init__(self, monkeypatch):
+        self.begun = threading.Event()
+        self.released = threading.Event()
+        self.write = os.eventfd_write
+        monkeypatch.setattr(os, "eventfd_write", self.hold)
+
+    def hold(self, descriptor, value):
+        self.begun.set()
+        self.released.wait(timeout=LONG_WAIT_S)
+        self.write(descriptor, value)
+
+
+class TestClose:
+    def test_a_late_wake_up_reaches_no_other_descriptor(self, monkeypatch):
+        """Guards against the bytes of an event in a connection that got the descriptor's number."""
+        opened = CallerInbox(sock=None)
+        held = HeldWrite(monkeypatch)
+        late = threading.Thread(target=opened.put, args=[outcome(end=ExchangeEnd.FAILED)])
+        late.start()
+        assert held.begun.wait(LONG_WAIT_S)
+        closing = threading.Thread(target=opened.close)
+        closing.start()
+        # The close has happened by then, unless it waits for the write.
+        closing.join(0.2)
+        pairs = [socket.socketpair() for _ in range(40)]
+        held.released.set()
+        late.join()
+        closing.join()
+        sockets = [sock for pair in pairs for sock in pair]
+        readable, _, _ = select.select(sockets, [], [], 0)
+        received = [sock.recv(100) for sock in readable]
+        for sock in sockets:
+            sock.close()
+        assert received == []
+
+    def test_descriptors_stay_bounded_while_requests_end_by_their_time_limit(self):
+        """Guards against descriptors that leak when outcomes arrive as their requests end."""
+        count = 2000
+        before = len(os.listdir("/proc/self/fd"))
+        inboxes = queue.SimpleQueue()
+
+        def put_all():
+            for opened in iter(inboxes.get, None):
+                opened.put(outcome(end=ExchangeEnd.TIMED_OUT))
+
+        tasks = [threading.Thread(target=put_all) for _ in range(8)]
+        for task in tasks:
+            task.start()
+        most = 0
+        for number in range(count):
+            opened = CallerInbox(sock=None)
+            inboxes.put(opened)
+            opened.receive(0.0005 if number % 2 else 0.0)
+            opened.close()
+            most = max(most, len(os.listdir("/proc/self/fd")))
+        for _ in tasks:
+            inboxes.put(None)
+        for task in tasks:
+            task.join()
+        assert most <= before + 1
+        assert len(os.listdir("/proc/self/fd")) == before
+
+
 class TestCaller:
     def test_a_disconnect_of_the_caller_ends_the_wait(self):
         """Guards against attempts that go on for a caller that has closed its connection."""
