Set and close the event of a caller's inbox under one lock

Callers got the bytes 01 00 00 00 00 00 00 00 in place of a status line, and servers got them in front of requests.

Cause: CallerInbox.put copied the number of the event descriptor and wrote to it without a lock. os.eventfd_write releases the interpreter lock before the system call, so the task of the request could close the descriptor first, and the next socket that opened got its number and then the eight bytes of the event. Attempts that fail always wake the inbox; where the time limits of the attempt and of the request are the same instant, both ends meet again and again.

Change: WakeEvent owns the descriptor; setting and closing it exclude each other, and setting a closed event does nothing.

--- a/src/rhubarbway/services/caller_inbox.py
+++ b/src/rhubarbway/services/caller_inbox.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import os
 import select
 import socket
 import sys
 from collections import deque
 
 from rhubarbway.model import ExchangeOutcome
+from rhubarbway.services.wake_event import WakeEvent
 
 # Value of ``wake_count`` while the task is not in ``receive``: successes then wake nobody, since
 # ``receive`` counts what has arrived before it waits.
@@ -33,27 +33,22 @@
     def __init__(self, *, sock: socket.socket | None) -> None:
         self.sock = sock
         self.outcomes: deque[ExchangeOutcome] = deque()
-        self.event: int | None = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.caller_left = False
         # Number of outcomes that wakes the task, and whether an unsuccessful one has arrived.
         self.wake_count = NEVER_WAKE
         self.urgent = False
         self.poll = select.poll()
-        self.poll.register(self.event, select.POLLIN)
         if sock is not None:
             self.poll.register(sock, select.POLLIN)
+        self.event = WakeEvent()
+        self.poll.register(self.event.descriptor, select.POLLIN)
 
     def put(self, outcome: ExchangeOutcome) -> None:
         """Add an outcome. Connection tasks call this, also after the request has ended."""
         self.outcomes.append(outcome)
         self.urgent = self.urgent or not outcome.succeeded
-        event = self.event
-        if event is not None and (self.urgent or len(self.outcomes) >= self.wake_count):
-            try:
-                os.eventfd_write(event, 1)
-            except OSError:
-                # The inbox was closed after the check: the request has ended and no task waits.
-                return
+        if self.urgent or len(self.outcomes) >= self.wake_count:
+            self.event.set()
 
     def receive(self, timeout_s: float, *, min_successes: int = 1) -> list[ExchangeOutcome]:
         """Wait for outcomes, a disconnect of the caller or the time limit; return the outcomes.
@@ -70,8 +65,8 @@
         self.wake_count = min_successes
         if not self.urgent and len(self.outcomes) < min_successes and timeout_s > 0.0:
             for descriptor, _ in self.poll.poll(timeout_s * 1000):
-                if descriptor == self.event:
-                    os.eventfd_read(descriptor)
+                if descriptor == self.event.descriptor:
+                    self.event.clear()
                 else:
                     self.check_caller()
         self.wake_count = NEVER_WAKE
@@ -97,7 +92,5 @@
         self.poll.unregister(self.sock)
 
     def close(self) -> None:
-        """Close the event descriptor. Outcomes that arrive later are ignored."""
-        event, self.event = self.event, None
-        if event is not None:
-            os.close(event)
+        """Close the event. Outcomes that arrive later are ignored."""
+        self.event.close()
--- a/src/rhubarbway/services/tests/test_caller_inbox.py
+++ b/src/rhubarbway/services/tests/test_caller_inbox.py
@@ -102,7 +102,7 @@
 
     def test_an_event_without_an_outcome_ends_one_wait_only(self, inbox):
         """Guards against a busy loop when an outcome is received before its event is written."""
-        os.eventfd_write(inbox.event, 1)
+        inbox.event.set()
         assert inbox.receive(LONG_WAIT_S) == []
         began = time.monotonic()
         assert inbox.receive(0.1) == []
