Compare the bytes of a caller's connection before a response is sent

A caller that reads eight foreign bytes in place of a status line closes its connection. The response that follows then resets the connection, and one that was reset has no count, so the invariant only_own_bytes_sent stayed silent in the very case of the incident. On loopback the reset is seen as soon as the send returns.

The comparison now runs before the response instead of after it, which is as many calls. Foreign bytes behind a response are found by the next comparison, at the latest when the connection closes.

--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -366,8 +366,10 @@
         data = connection.send(h11.Response(status_code=response.status_code, headers=headers))
         data += connection.send(h11.Data(data=body)) if body else b""
         data += connection.send(h11.EndOfMessage())
-        state.sent.send_all(state.sock, data)
+        # A caller that has read foreign bytes may have closed the connection. The response then
+        # resets it, and a connection that was reset has no count.
         state.sent.compare(state.sock, state.peer, self.report_mismatch)
+        state.sent.send_all(state.sock, data)
         return keep_alive and connection.our_state is h11.DONE
 
     def disable_keep_alive(self) -> None:
--- a/src/rhubarbway/edge/tests/test_sent_bytes.py
+++ b/src/rhubarbway/edge/tests/test_sent_bytes.py
@@ -111,6 +111,20 @@
         (report,) = reports
         assert report[2] - report[1] == 8
 
+    def test_server_reports_foreign_bytes_that_a_caller_left_after(self, reports):
+        """Guards against a response that resets the connection before its bytes are compared."""
+        gated = GatedServer()
+        gated.server.report_mismatch = lambda *report: reports.append(report)
+        with gated.connect() as sock:
+            sock.sendall(GET.replace(b"/x", b"/gated"))
+            assert gated.entered.wait(20.0)
+            (state,) = gated.server.connections
+            os.write(state.sock.fileno(), b"foreign!")
+            assert sock.recv(100) == b"foreign!"
+        gated.gate.set()
+        gated.server.stop(grace_s=5.0)
+        assert [report[1:] for report in reports] == [(0, 8)]
+
     def test_client_reports_bytes_that_no_request_contains(self, reports):
         """Guards against foreign bytes in front of a request that leave no trace in the log."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
