Test that an outcome after the close of an inbox reaches no descriptor

The tests of the event held only a write back that had begun before the close. A WakeEvent that closes its descriptor under the lock but keeps the number passed them, and each later outcome was written to whatever socket had got the number. The new test opens sockets after the close and then adds an outcome; it fails for that form of close and passes for the present one.

--- a/src/rhubarbway/services/tests/test_caller_inbox.py
+++ b/src/rhubarbway/services/tests/test_caller_inbox.py
@@ -163,6 +163,19 @@
             sock.close()
         assert received == []
 
+    def test_an_outcome_after_the_close_reaches_no_other_descriptor(self):
+        """Guards against a closed inbox that keeps the number of its event."""
+        opened = CallerInbox(sock=None)
+        opened.close()
+        pairs = [socket.socketpair() for _ in range(40)]
+        sockets = [sock for pair in pairs for sock in pair]
+        opened.put(outcome(end=ExchangeEnd.FAILED))
+        readable, _, _ = select.select(sockets, [], [], 0)
+        received = [sock.recv(100) for sock in readable]
+        for sock in sockets:
+            sock.close()
+        assert received == []
+
     def test_descriptors_stay_bounded_while_requests_end_by_their_time_limit(self):
         """Guards against descriptors that leak when outcomes arrive as their requests end."""
         count = 2000
