--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -49,7 +49,7 @@
     address : str
         ``HOST:PORT``.
     report_mismatch : callable
-        Called when a connection closes that carries other bytes than were sent on it.
+        Called when a connection closes that carries more bytes than were sent on it.
     """
 
     __slots__ = (
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -108,7 +108,7 @@
         Returns the limits. Called before each request is read, and when a connection opens: the
         limit on a head that arrives in several reads stays that of the opening.
     report_mismatch : callable
-        Called with the peer of a connection that carries other bytes than the server has sent.
+        Called with the peer of a connection that carries more bytes than the server has sent.
     """
 
     __slots__ = (
--- a/src/rhubarbway/services/connection_tasks.py
+++ b/src/rhubarbway/services/connection_tasks.py
@@ -64,7 +64,7 @@
     waiting : deque of tuple
         Pool and first attempt of the connections that wait for a task.
     report_mismatch : callable
-        Called for a connection that carries other bytes than its task has sent.
+        Called for a connection that carries more bytes than its task has sent.
     """
 
     __slots__ = (
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -146,7 +146,7 @@
         self.host_count_listeners: list[Callable[[int], None]] = []
         # Called with the content and size of each reply to another host.
         self.feed_reply_listeners: list[Callable[..., None]] = []
-        # Called for a follower's connection that carries other bytes than its task has sent.
+        # Called for a follower's connection that carries more bytes than its task has sent.
         self.report_mismatch: ReportMismatch = ignore_mismatch
         self.feed_traffic = FeedTraffic(now=now)
         self.lock = threading.Lock()
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -51,7 +51,7 @@
     decode, encode : callable
         Decoder of requests and encoder of answers.
     report_mismatch : callable
-        Called for a caller's connection that carries other bytes than its task has sent.
+        Called for a caller's connection that carries more bytes than its task has sent.
     """
 
     __slots__ = (
--- a/src/rhubarbway/services/wake_event.py
+++ b/src/rhubarbway/services/wake_event.py
@@ -31,7 +31,7 @@
                 os.eventfd_write(self.descriptor, 1)
 
     def clear(self) -> None:
-        """Clear the event, which is set; only the owner may call this, before it closes the event.
+        """Clear the event. Only the owner calls this, while the event is set and open.
 
         Raises
         ------
