Compare acknowledged and waiting bytes, which a failed send does not raise

The kernel counts a segment as sent before it hands it to the device. If that fails locally (a full queue, a rule of a firewall, no route), it sends the segment again and counts it again, but not as retransmitted, so a sound connection could break the invariant only_own_bytes_sent. Read in the kernel's behaviour, not shown: loopback does not fail. Acknowledged bytes and those that wait for the peer count each byte once.

--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -68,7 +68,7 @@
     def __init__(self, *, address: str, report_mismatch: ReportMismatch = ignore_mismatch) -> None:
         self.address = parse_address(address)
         self.report_mismatch = report_mismatch
-        self.sent_bytes = SentBytes()
+        self.sent_bytes = SentBytes(connected=True)
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
         self.poll = select.poll()
@@ -176,7 +176,7 @@
             if sock is not None:
                 return sock
             sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            self.sent_bytes = SentBytes()
+            self.sent_bytes = SentBytes(connected=True)
         remaining_s = self.deadline - time.monotonic()
         if connect_timeout_s is not None:
             remaining_s = min(remaining_s, connect_timeout_s)
--- a/src/rhubarbway/edge/sent_bytes.py
+++ b/src/rhubarbway/edge/sent_bytes.py
@@ -6,19 +6,22 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 from collections.abc import Callable
 
-# Offsets in ``struct tcp_info`` of Linux, which only ever grows at its end: the connection state,
-# ``tcpi_notsent_bytes``, and ``tcpi_bytes_sent`` with ``tcpi_bytes_retrans`` behind it.
+# Offsets in ``struct tcp_info`` of Linux, which only ever grows at its end: the connection state
+# and ``tcpi_bytes_acked``, of Linux 4.1 and later.
 STATE_OFFSET = 0
-NOTSENT_OFFSET = 144
-SENT_OFFSET = 200
-TCP_INFO_BYTES = 216
+ACKNOWLEDGED_OFFSET = 120
+TCP_INFO_BYTES = 128
 # ``TCP_ESTABLISHED`` and ``TCP_CLOSE_WAIT``. In the other states this side has shut the connection
 # down, which counts as one more byte, or the connection was reset.
 COUNTED_STATES = frozenset({1, 8})
+# The kernel counts the handshake of the side that connects as an acknowledged byte.
+HANDSHAKE_BYTES = 1
 
 # ``report(peer, sent, counted)`` is called with the bytes that were sent and those counted.
 ReportMismatch = Callable[[str, int, int], None]
@@ -29,7 +32,11 @@
 
 
 def counted_bytes(sock: socket.socket) -> int | None:
-    """Return the payload bytes written to a connection since it opened, by the kernel's count.
+    """Return the bytes written to a connection since it opened, by the kernel's count.
+
+    These are the bytes that the peer has acknowledged and those that wait for it. The number of
+    bytes sent would be too large where a send fails locally, since the kernel counts the bytes
+    again when it repeats it.
 
     Returns
     -------
@@ -39,17 +46,20 @@
 
     References
     ----------
-    ``struct tcp_info`` in ``linux/tcp.h``; RFC 4898, ``tcpEStatsPerfDataOctetsOut``.
+    ``struct tcp_info`` in ``linux/tcp.h``; ``tcpEStatsAppHCThruOctetsAcked`` in RFC 4898;
+    ``SIOCOUTQ`` in tcp(7).
     """
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        # Read second: bytes that are acknowledged in between then count in neither number.
+        queued = fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0" * 4)
     except OSError:
         return None
     if len(info) < TCP_INFO_BYTES or info[STATE_OFFSET] not in COUNTED_STATES:
         return None
-    (not_sent,) = struct.unpack_from("=I", info, NOTSENT_OFFSET)
-    sent, sent_again = struct.unpack_from("=QQ", info, SENT_OFFSET)
-    return sent - sent_again + not_sent
+    (acknowledged,) = struct.unpack_from("=Q", info, ACKNOWLEDGED_OFFSET)
+    (waiting,) = struct.unpack("=i", queued)
+    return acknowledged + waiting
 
 
 class SentBytes:
@@ -58,15 +68,20 @@
     Attributes
     ----------
     count : int
-        Bytes sent so far.
+        Bytes sent so far, as the kernel counts them.
     exact : bool
         False after a send that failed, which may have sent a part of its bytes.
+
+    Parameters
+    ----------
+    connected : bool
+        Whether this side has opened the connection, rather than accepted it.
     """
 
     __slots__ = ("count", "exact")
 
-    def __init__(self) -> None:
-        self.count = 0
+    def __init__(self, *, connected: bool = False) -> None:
+        self.count = HANDSHAKE_BYTES if connected else 0
         self.exact = True
 
     def send_all(self, sock: socket.socket, data: bytes) -> None:
--- a/src/rhubarbway/edge/tests/test_sent_bytes.py
+++ b/src/rhubarbway/edge/tests/test_sent_bytes.py
@@ -7,7 +7,7 @@
 
 from rhubarbway.edge import sent_bytes
 from rhubarbway.edge.exchange_connection import ExchangeConnection
-from rhubarbway.edge.sent_bytes import SentBytes, counted_bytes
+from rhubarbway.edge.sent_bytes import HANDSHAKE_BYTES, SentBytes, counted_bytes
 from rhubarbway.edge.tests.test_http_server import GET, GatedServer
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -39,7 +39,15 @@
                 sent += ours.send(b"x" * 100_000)
         except BlockingIOError:
             pass
-        assert counted_bytes(ours) == sent
+        assert counted_bytes(ours) == sent + HANDSHAKE_BYTES
+
+    def test_bytes_are_counted_once_whoever_has_taken_them(self, connection):
+        """Guards against bytes that count as sent and as waiting, or as neither."""
+        theirs = connection[1]
+        for size in (1, 1000, 70_000):
+            before = counted_bytes(theirs)
+            theirs.sendall(b"x" * size)
+            assert counted_bytes(theirs) == before + size
 
     def test_a_connection_that_was_shut_down_has_no_count(self, connection):
         """Guards against the end of a connection being counted as a byte."""
@@ -58,7 +66,7 @@
 class TestComparison:
     def test_own_bytes_are_not_reported(self, connection, reports):
         """Guards against reports about sound connections."""
-        sent = SentBytes()
+        sent = SentBytes(connected=True)
         for size in (1, 70_000):
             sent.send_all(connection[0], b"x" * size)
             connection[1].recv(70_000)
@@ -67,24 +75,24 @@
 
     def test_bytes_of_another_task_are_reported_once(self, connection, reports):
         """Guards against a log line for each later request of the same connection."""
-        sent = SentBytes()
+        sent = SentBytes(connected=True)
         sent.send_all(connection[0], b"own")
         os.write(connection[0].fileno(), b"foreign!")
         for _ in range(2):
             sent.compare(connection[0], "peer", lambda *report: reports.append(report))
-        assert reports == [("peer", 3, 11)]
+        assert reports == [("peer", 3 + HANDSHAKE_BYTES, 11 + HANDSHAKE_BYTES)]
 
     def test_a_kernel_without_counters_is_not_reported(self, connection, reports, monkeypatch):
         """Guards against a broken invariant for each connection where the counters stay at zero."""
         monkeypatch.setattr(sent_bytes, "counted_bytes", lambda sock: 0)
-        sent = SentBytes()
+        sent = SentBytes(connected=True)
         sent.send_all(connection[0], b"own")
         sent.compare(connection[0], "peer", lambda *report: reports.append(report))
         assert reports == []
 
     def test_a_send_that_failed_leaves_nothing_to_compare(self, connection, reports):
         """Guards against reports about a response that was cut by its time limit."""
-        sent = SentBytes()
+        sent = SentBytes(connected=True)
         connection[0].settimeout(0.05)
         with pytest.raises(TimeoutError):
             sent.send_all(connection[0], b"x" * 50_000_000)
@@ -138,4 +146,4 @@
                 os.write(client.sock.fileno(), b"foreign!")
                 server.sendall(ANSWER)
                 client.disconnect()
-        assert reports == [(f"{host}:{port}", 0, 8)]
+        assert reports == [(f"{host}:{port}", HANDSHAKE_BYTES, 8 + HANDSHAKE_BYTES)]
