Reserve the number of a call, so that a late cancel ends no other call

Cause: an attempt took the number of the next call on its connection and could end without a call: expired, or cancelled between taking the number and the call. The next attempt on the connection, of another caller, then got the same number. A cancel that came late, or had read the connection before, aborted that call (ends as LOST or CONNECTION_LOST); one that came in time left its number behind as aborted, and the next call was refused as cancelled (CONNECT_FAILED).

Change: a connection hands out the number of a call by reserve_call and never gives it again. Expired and withdrawn attempts take neither number nor connection.

No system call is added.

--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -88,6 +88,16 @@
         """
         return self.sock is not None and not self.poll.poll(0)
 
+    def reserve_call(self) -> int:
+        """Return the number of the next call, which no other call gets even if it is never begun.
+
+        An ``abort`` of this number that comes late can then end no other call. Only the task that
+        owns the connection may call this.
+        """
+        with self.lock:
+            self.call_number += 1
+            return self.call_number
+
     def open(self, *, timeout_s: float) -> None:
         """Open the connection ahead of the first request, unless it is already open.
 
@@ -113,6 +123,7 @@
         timeout_s: float,
         connect_timeout_s: float | None = None,
         acknowledgement_timeout_s: float | None = None,
+        call_number: int | None = None,
     ) -> Reply:
         """Send one request and return the complete response.
 
@@ -129,7 +140,7 @@
         self.deadline = time.monotonic() + timeout_s
         self.sent = False
         try:
-            sock = self.connected_socket(connect_timeout_s)
+            sock = self.connected_socket(connect_timeout_s, call_number)
             reader = ResponseReader(head_only=method == "HEAD")
             if acknowledgement_timeout_s is None:
                 self.send(sock, request_bytes(method, target, headers, body))
@@ -158,7 +169,9 @@
             and not isinstance(error, TruncatedResponseError),
         )
 
-    def connected_socket(self, connect_timeout_s: float | None) -> socket.socket:
+    def connected_socket(
+        self, connect_timeout_s: float | None, call_number: int | None = None
+    ) -> socket.socket:
         """Return the socket of the open connection, or connect if there is none or it has ended.
 
         Raises
@@ -167,7 +180,8 @@
             If no connection could be opened, or the call was aborted before it began.
         """
         with self.lock:
-            self.call_number += 1
+            if call_number is None:
+                self.call_number += 1
             sock = self.sock if self.is_open else None
             if sock is None:
                 self.close_socket()
--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -254,7 +254,25 @@
             return False
         return not poll.poll(0)
 
-    def call(self, method: str, path: str, body: bytes | None, *, timeout_s: float) -> Reply:
+    def reserve_call(self) -> int:
+        """Return the number of the next call, which no other call gets even if it is never begun.
+
+        An ``abort`` of this number that comes late can then end no other call. Only the task that
+        owns the connection may call this.
+        """
+        with self.lock:
+            self.call_number += 1
+            return self.call_number
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        *,
+        timeout_s: float,
+        call_number: int | None = None,
+    ) -> Reply:
         """Send one JSON request and return the complete response.
 
         Parameters
@@ -267,6 +285,8 @@
             JSON body of a ``POST``.
         timeout_s : float
             Time limit of the whole call, seconds.
+        call_number : int, optional
+            Number from ``reserve_call``; by default the call takes the next one.
 
         Raises
         ------
@@ -274,7 +294,12 @@
             If no complete response arrived.
         """
         return self.exchange(
-            method, path, headers=JSON_HEADERS, body=body or b"", timeout_s=timeout_s
+            method,
+            path,
+            headers=JSON_HEADERS,
+            body=body or b"",
+            timeout_s=timeout_s,
+            call_number=call_number,
         )
 
     def exchange(
@@ -286,6 +311,7 @@
         body: bytes,
         timeout_s: float,
         connect_timeout_s: float | None = None,
+        call_number: int | None = None,
     ) -> Reply:
         """Send one request and return the complete response.
 
@@ -303,13 +329,15 @@
             Time limit of the whole call, seconds.
         connect_timeout_s : float, optional
             Time limit for opening a new connection, seconds; by default that of the call.
+        call_number : int, optional
+            Number from ``reserve_call``; by default the call takes the next one.
 
         Raises
         ------
         CallError
             If no complete response arrived.
         """
-        self.begin_call()
+        self.begin_call(call_number)
         curl = self.curl
         curl.setopt(pycurl.REQUEST_TARGET, target)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
@@ -323,8 +351,8 @@
             raise self.call_error(error) from None
         return self.read_reply(method)
 
-    def begin_call(self) -> None:
-        """Increment the call number, and permit a new connection if there is no usable one.
+    def begin_call(self, call_number: int | None) -> None:
+        """Take a call number, and permit a new connection if there is no usable one.
 
         Raises
         ------
@@ -332,7 +360,8 @@
             If the call was aborted before it began.
         """
         with self.lock:
-            self.call_number += 1
+            if call_number is None:
+                self.call_number += 1
             self.may_open = not self.is_open
             if self.may_open:
                 self.shut_down_socket()
--- a/src/rhubarbway/services/replica_pool.py
+++ b/src/rhubarbway/services/replica_pool.py
@@ -33,8 +33,8 @@
     """One attempt to run a sub-query on a replica.
 
     The connection task calls ``on_outcome`` exactly once. ``incarnation`` is the incarnation of the
-    replica when the request was sent. ``call_number`` is the number of the attempt's call on
-    ``connection``, so that ``cancel`` aborts no other call. ``has_reservation`` is True if the
+    replica when the request was sent. ``call_number`` is the number reserved for the attempt's call
+    on ``connection``, so that ``cancel`` aborts no other call. ``has_reservation`` is True if the
     attempt holds a reservation of the crash service.
     """
 
@@ -327,17 +327,18 @@
         if now >= sub_query.deadline:
             return self.make_outcome(attempt, OutcomeKind.TIMED_OUT, ExecutionStatus.NOT_RUN)
         attempt.incarnation = self.state.incarnation
-        attempt.call_number = connection.call_number + 1
+        attempt.call_number = connection.reserve_call()
         # ``cancel`` depends on this order.
         attempt.connection = connection
-        if attempt.cancelled:
-            return self.make_outcome(attempt, OutcomeKind.CANCELLED, ExecutionStatus.NOT_RUN)
         try:
+            if attempt.cancelled:
+                return self.make_outcome(attempt, OutcomeKind.CANCELLED, ExecutionStatus.NOT_RUN)
             reply = connection.call(
                 "POST",
                 "/v1/subquery",
                 wire.sub_query_to_json(sub_query, now=now),
                 timeout_s=sub_query.deadline - now,
+                call_number=attempt.call_number,
             )
         except CallError as error:
             return self.outcome_of_error(attempt, error)
--- a/src/rhubarbway/services/server_attempt.py
+++ b/src/rhubarbway/services/server_attempt.py
@@ -26,10 +26,10 @@
     deliver : callable
         Takes the outcome; called exactly once.
     connection : ExchangeConnection or None
-        The connection that the attempt uses, until its call has ended. It stays set if the attempt
-        is not sent.
+        The connection that the attempt uses, until its call has ended.
     call_number : int
-        Number of the call on that connection, so that a late cancellation hits no other call.
+        Number reserved for the call on that connection, so that a late cancellation hits no other
+        call, also if this one is never begun.
     waiting_since : float or None
         Instant at which the attempt began to wait for the server or for a free connection to it;
         None until the task of an idle or new connection has picked it up.
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -329,9 +329,6 @@
             http.disconnect()
         remaining_s = attempt.deadline - now
         attempt.waiting_since = attempt.waiting_since or now
-        attempt.call_number = http.call_number + 1
-        # ``cancel`` depends on this order.
-        attempt.connection = http
         if attempt.cancelled:
             return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
         if remaining_s <= 0.0:
@@ -339,9 +336,13 @@
                 attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN, detail="no time left"
             )
         if not self.state.accepts_requests(now):
-            attempt.connection = None
             return self.withdrawn_outcome(attempt)
+        attempt.call_number = http.reserve_call()
+        # ``cancel`` depends on this order.
+        attempt.connection = http
         try:
+            if attempt.cancelled:
+                return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
             reply = http.exchange(
                 request.method,
                 request.target,
@@ -350,6 +351,7 @@
                 timeout_s=remaining_s + REPLY_TIMEOUT_MARGIN_S,
                 connect_timeout_s=self.connect_timeout_s,
                 acknowledgement_timeout_s=self.acknowledgement_timeout_s,
+                call_number=attempt.call_number,
             )
         except CallError as error:
             connection.reusable_until = float("inf")
--- a/src/rhubarbway/services/tests/test_replica_pool.py
+++ b/src/rhubarbway/services/tests/test_replica_pool.py
@@ -5,6 +5,7 @@
 """
 
 import queue
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -51,10 +52,10 @@
         self.counter = 0
         self.pool.preconnect()
 
-    def submit(self, *, timeout_s=WAIT_S):
+    def submit(self, *, timeout_s=WAIT_S, cls=Attempt):
         """Submit an attempt and return it."""
         self.counter += 1
-        attempt = Attempt(
+        attempt = cls(
             sub_query=SubQuery(
                 attempt=AttemptId(host="e1", incarnation="aa", counter=self.counter),
                 service="desk",
@@ -95,6 +96,27 @@
         self.server.server.stop(grace_s=0.0)
 
 
+class CancelledAtStart(Attempt):
+    """An attempt that is cancelled as it gets its connection; the abort waits for ``released``."""
+
+    connection = property(lambda self: self.held, lambda self, opened: self.set_connection(opened))
+
+    def set_connection(self, opened):
+        if opened is None:
+            self.held = None
+            return
+        self.opened, self.held = opened, self
+        self.begun, self.released = threading.Event(), threading.Event()
+        self.canceller = threading.Thread(target=self.cancel)
+        self.canceller.start()
+        assert self.begun.wait(WAIT_S)
+
+    def abort(self, call_number):
+        self.begun.set()
+        self.released.wait(timeout=WAIT_S)
+        self.opened.abort(call_number)
+
+
 @pytest.fixture
 def harness(tmp_path):
     running = PoolHarness(directory=tmp_path)
@@ -246,6 +268,18 @@
         outcome = harness.outcomes.get(timeout=WAIT_S)
         assert (outcome.kind, outcome.ran) == (OutcomeKind.CANCELLED, ExecutionStatus.UNKNOWN)
 
+    def test_late_cancel_of_an_attempt_that_was_not_sent_ends_no_other_call(self, harness):
+        """Guards against an abort of a call that never began, which ends the next one."""
+        cancelled = harness.submit(cls=CancelledAtStart)
+        assert harness.outcomes.get(timeout=WAIT_S).kind is OutcomeKind.CANCELLED
+        harness.proxy.set_faults("r", RESPONSE, freeze=True)
+        harness.submit()
+        harness.wait_until(lambda: harness.ran() == [1, 3])
+        cancelled.released.set()
+        cancelled.canceller.join()
+        harness.proxy.set_faults("r", RESPONSE)
+        assert harness.outcomes.get(timeout=WAIT_S).kind is OutcomeKind.ANSWERED
+
     def test_attempt_whose_deadline_passed_is_not_sent(self, harness):
         """Guards against sending an attempt whose caller no longer waits."""
         outcome = harness.run(timeout_s=0.0)
