Close the connections of a server under the lock that its stop holds

Cause: stop shuts the sockets of all open connections down under the server's lock, but the task of a connection closed its socket without it. CPython reads the number of a socket, releases the interpreter lock and makes the system call, so a stop could shut down a socket that had got the number of a connection closed meanwhile.

Change: the task closes its socket and forgets the connection under the lock.

--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -235,8 +235,10 @@
             pass
         finally:
             state.sent.compare(state.sock, state.peer, self.report_mismatch)
-            state.sock.close()
             with self.lock:
+                # Under the lock, since ``stop`` shuts the sockets of the connections down: after
+                # the close, the number of the descriptor may belong to another socket.
+                state.sock.close()
                 self.connections.discard(state)
                 self.connection_ended.notify_all()
 
--- a/src/rhubarbway/edge/tests/test_http_server.py
+++ b/src/rhubarbway/edge/tests/test_http_server.py
@@ -1,12 +1,15 @@
 """Tests of the HTTP server."""
 
+import contextlib
 import socket
 import threading
 
 import pytest
 from werkzeug.wrappers import Response
 
+from rhubarbway.edge import http_server
 from rhubarbway.edge.http_server import HttpServer
+from rhubarbway.edge.tests.held_calls import HeldCall, reused_numbers, touched
 
 MAX_CONNECTIONS = 4
 GET = b"GET /x HTTP/1.1\r\nHost: e\r\n\r\n"
@@ -118,3 +121,30 @@
     def test_second_stop_does_nothing(self, gated):
         """Guards against a second stop that fails on closed sockets."""
         assert [gated.server.stop(grace_s=1.0) for _ in range(2)] == [0, 0]
+
+    def test_a_connection_that_ends_meanwhile_is_not_shut_down_by_its_number(
+        self, gated, monkeypatch
+    ):
+        """Guards against a stop that shuts down a socket which got the number of a closed one."""
+        held = HeldCall()
+        monkeypatch.setattr(
+            http_server,
+            "shutdown_socket",
+            lambda sock: held.run(sock, lambda by_number: by_number.shutdown(socket.SHUT_RDWR)),
+        )
+        with gated.connect() as sock:
+            sock.sendall(GET.replace(b"/x", b"/gated"))
+            assert gated.entered.wait(20.0)
+            stopping = threading.Thread(target=gated.server.stop, kwargs={"grace_s": 0.0})
+            stopping.start()
+            assert held.begun.wait(20.0)
+            gated.gate.set()
+            assert b"answer" in sock.recv(65536)
+            # The server closes the connection after this response, unless it waits for the stop.
+            sock.settimeout(0.2)
+            with contextlib.suppress(TimeoutError):
+                assert sock.recv(1) == b""
+            with reused_numbers() as sockets:
+                held.released.set()
+                stopping.join()
+                assert touched(sockets) == []
