Reset proxied connections under the lock that closes them

Cause: a cut of the fault proxy shut both sockets of a connection down without the lock of the route, while the last of its two tasks could close them. The shutdown could then reach the socket that had got the number: a connection that no fault was set for.

Change: the sockets are shut down and closed under the lock of the route.

Measured: a test that holds the shutdown found a socket of another pair shut down, and passes.

--- a/src/rhubarbway/edge/tests/held_calls.py
+++ b/src/rhubarbway/edge/tests/held_calls.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import errno
 import select
 import socket
 import threading
@@ -25,6 +26,8 @@
         number = sock.fileno()
         self.begun.set()
         self.released.wait(timeout=WAIT_S)
+        if number < 0:
+            raise OSError(errno.EBADF, "the socket was closed before the call")
         by_number = socket.socket(fileno=number)
         try:
             return call(by_number)
--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -145,13 +145,20 @@
         self.open_directions = 2
 
     def stop_reading(self) -> None:
-        """Wake the tasks of both directions: their reads return the end of the stream."""
+        """Wake the tasks of both directions: their reads return the end of the stream.
+
+        The caller holds the lock of the route, or is the task of a direction: the sockets must not
+        be closed meanwhile, since another socket would then get the number of the descriptor.
+        """
         for sock in (self.client, self.server):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
 
     def close(self) -> None:
-        """Close both sockets, with a TCP reset if ``reset`` is set."""
+        """Close both sockets, with a TCP reset if ``reset`` is set.
+
+        The caller holds the lock of the route.
+        """
         for sock in (self.client, self.server):
             if self.reset:
                 with contextlib.suppress(OSError):
@@ -241,10 +248,8 @@
         finally:
             with self.condition:
                 connection.open_directions -= 1
-                last = connection.open_directions == 0
-            if last:
-                connection.close()
-                with self.condition:
+                if connection.open_directions == 0:
+                    connection.close()
                     self.connections.discard(connection)
 
     def forward_message(
@@ -324,7 +329,7 @@
         with self.condition:
             connection.reset = True
             self.condition.notify_all()
-        connection.stop_reading()
+            connection.stop_reading()
 
     def reset_all(self) -> int:
         """Reset all open connections and return their number."""
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -9,6 +9,11 @@
 
 from rhubarbway.edge.http_client import CallError, HttpConnection
 from rhubarbway.edge.http_server import HttpServer
+from rhubarbway.edge.tests.held_calls import (
+    HeldCall,
+    reused_numbers,
+    touched,
+)
 from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE, FaultProxy, Route
 from rhubarbway_standins.processes import Fleet, call_json, free_ports
 
@@ -169,3 +174,43 @@
             assert control.state()["echo"]["faults_applied"] == 1
             with pytest.raises(ValueError):
                 control.set_faults("echo", RESPONSE, unknown=True)
+
+
+class HeldSocket:
+    """Stand-in for a socket of a proxied connection whose ``shutdown`` is held."""
+
+    def __init__(self, sock, held):
+        self.sock = sock
+        self.held = held
+
+    def shutdown(self, how):
+        self.held.run(self.sock, lambda by_number: by_number.shutdown(how))
+
+    def setsockopt(self, *option):
+        self.sock.setsockopt(*option)
+
+    def close(self):
+        self.sock.close()
+
+
+class TestDescriptors:
+    def test_a_reset_reaches_no_socket_but_its_own(self, echo, proxy, connections):
+        """Guards against a cut that ends another connection, which a soak takes for a fault."""
+        connections[0].call("POST", "/", b"a", timeout_s=5.0)
+        route_proxy = proxy.route_proxies["echo"]
+        (proxied,) = route_proxy.connections
+        held = HeldCall()
+        client, proxied.client = proxied.client, HeldSocket(proxied.client, held)
+        cutting = threading.Thread(target=route_proxy.reset_all)
+        cutting.start()
+        assert held.begun.wait(5.0)
+        # Both directions end, and their last task closes the sockets, unless it waits for the cut.
+        connections[0].disconnect()
+        echo.server.stop(grace_s=0.0)
+        end = time.monotonic() + 0.3
+        while client.fileno() >= 0 and time.monotonic() < end:
+            time.sleep(0.005)
+        with reused_numbers() as sockets:
+            held.released.set()
+            cutting.join()
+            assert touched(sockets) == []
