Let the accept task of a proxied route close its listener

Cause: closing a route closed the listener while the accept task could be between reading its number and the system call. It then took a connection of the listener that got the number, and sent it to the server of the closed route.

Change: closing a route only shuts the listener down, which ends accept; the accept task closes it.

Measured: a test that holds accept saw the connection of another listener taken, and passes.

--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -197,13 +197,21 @@
         executor.submit(self.accept_connections)
 
     def accept_connections(self) -> None:
-        """Accept until the listener is closed."""
-        while not self.closing:
-            try:
-                client, _ = self.listener.accept()
-            except OSError:
-                continue
-            self.executor.submit(self.open_connection, client)
+        """Accept until the route is closed, and then close the listener.
+
+        Only this task closes the listener: ``accept`` in a task that has read the number would
+        otherwise take connections of the socket that gets the number next.
+        """
+        try:
+            while not self.closing:
+                try:
+                    client, _ = self.listener.accept()
+                except OSError:
+                    continue
+                self.executor.submit(self.open_connection, client)
+        finally:
+            with self.condition:
+                self.listener.close()
 
     def open_connection(self, client: socket.socket) -> None:
         """Connect to the server and forward requests; a second task forwards the responses.
@@ -340,11 +348,11 @@
         return len(connections)
 
     def close(self) -> None:
-        """Stop listening and reset all connections."""
-        self.closing = True
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        """Stop listening and reset all connections; the accept task closes the listener."""
+        with self.condition:
+            self.closing = True
+            with contextlib.suppress(OSError):
+                self.listener.shutdown(socket.SHUT_RDWR)
         self.reset_all()
 
 
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -1,5 +1,6 @@
 """Tests of the fault-injecting proxy."""
 
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +12,8 @@
 from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.edge.tests.held_calls import (
     HeldCall,
+    hold_first_accept,
+    listeners_with_callers,
     reused_numbers,
     touched,
 )
@@ -214,3 +217,21 @@
             held.released.set()
             cutting.join()
             assert touched(sockets) == []
+
+    def test_a_closed_route_accepts_no_connection_of_another_listener(self, echo, monkeypatch):
+        """Guards against a connection that goes to the server of a route closed before."""
+        held = hold_first_accept(monkeypatch)
+        listen = f"127.0.0.1:{next(PORTS)}"
+        running = FaultProxy(routes=[Route(name="echo", listen=listen, upstream=echo.address)])
+        assert held.begun.wait(5.0)
+        (route_proxy,) = running.route_proxies.values()
+        route_proxy.close()
+        with listeners_with_callers() as listeners:
+            held.released.set()
+            running.stop()
+            for listener in listeners:
+                listener.settimeout(0.5)
+                listener.accept()[0].close()
+        assert route_proxy.listener.fileno() == -1
+        with pytest.raises(OSError):
+            socket.create_connection(("127.0.0.1", int(listen.rpartition(":")[2])), timeout=1.0)
