--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -145,13 +145,20 @@
         self.open_directions = 2
 
     def stop_reading(self) -> None:
-        """Wake the tasks of both directions: their reads return the end of the stream."""
+        """Wake the tasks of both directions: their reads return the end of the stream.
+
+        The caller holds the lock of the route, or is the task of a direction: the sockets must not
+        be closed meanwhile, since another socket would then get the number of the descriptor.
+        """
         for sock in (self.client, self.server):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
 
     def close(self) -> None:
-        """Close both sockets, with a TCP reset if ``reset`` is set."""
+        """Close both sockets, with a TCP reset if ``reset`` is set.
+
+        The caller holds the lock of the route.
+        """
         for sock in (self.client, self.server):
             if self.reset:
                 with contextlib.suppress(OSError):
@@ -190,13 +197,21 @@
         executor.submit(self.accept_connections)
 
     def accept_connections(self) -> None:
-        """Accept until the listener is closed."""
-        while not self.closing:
-            try:
-                client, _ = self.listener.accept()
-            except OSError:
-                continue
-            self.executor.submit(self.open_connection, client)
+        """Accept until the route is closed, and then close the listener.
+
+        Only this task closes the listener: ``accept`` in a task that has read the number would
+        otherwise take connections of the socket that gets the number next.
+        """
+        try:
+            while not self.closing:
+                try:
+                    client, _ = self.listener.accept()
+                except OSError:
+                    continue
+                self.executor.submit(self.open_connection, client)
+        finally:
+            with self.condition:
+                self.listener.close()
 
     def open_connection(self, client: socket.socket) -> None:
         """Connect to the server and forward requests; a second task forwards the responses.
@@ -241,10 +256,8 @@
         finally:
             with self.condition:
                 connection.open_directions -= 1
-                last = connection.open_directions == 0
-            if last:
-                connection.close()
-                with self.condition:
+                if connection.open_directions == 0:
+                    connection.close()
                     self.connections.discard(connection)
 
     def forward_message(
@@ -324,7 +337,7 @@
         with self.condition:
             connection.reset = True
             self.condition.notify_all()
-        connection.stop_reading()
+            connection.stop_reading()
 
     def reset_all(self) -> int:
         """Reset all open connections and return their number."""
@@ -335,11 +348,11 @@
         return len(connections)
 
     def close(self) -> None:
-        """Stop listening and reset all connections."""
-        self.closing = True
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        """Stop listening and reset all connections; the accept task closes the listener."""
+        with self.condition:
+            self.closing = True
+            with contextlib.suppress(OSError):
+                self.listener.shutdown(socket.SHUT_RDWR)
         self.reset_all()
 
 
