Refuse a response whose head continues one that was cut off

A server that answers a second time may be cut off within the second copy. The client has sent its next request meanwhile, and the answer to it follows the cut bytes. If the cut lies in the reason phrase, or in the value of a header, both parsers read one response: the status of the copy with the id, the headers and the body of the answer, so a 500 became a 200 with the right request id. libcurl also accepts a status line in the place of a header.

Both connections now refuse a head or trailer that contains the begin of a status line. A test cuts the copy at each byte; before, it failed for both connections (at byte 12 with libcurl, at byte 13 with httptools), now it passes.

--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import io
+import re
 import select
 import socket
 import threading
@@ -28,6 +29,9 @@
 # adds ``Host`` and ``Content-Length``, which are not suppressed.
 CURL_DEFAULT_HEADERS = ("Expect:", "Accept:", "User-Agent:")
 JSON_HEADERS = ("Content-Type: application/json",)
+# Begin of a status line. Within a header or a reason phrase it is the begin of another response:
+# the bytes before it belong to one that was cut off.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
 
 
 # TCP keepalive probes start after 1 s without traffic; a peer that does not acknowledge them is
@@ -107,6 +111,17 @@
     ]
 
 
+def holds_status_line(value: bytes) -> bool:
+    """Return whether a header value or a reason phrase contains the begin of a status line.
+
+    Examples
+    --------
+    >>> holds_status_line(b"textHTTP/1.1 200 OK"), holds_status_line(b"HTTP/1.1 proxy")
+    (True, False)
+    """
+    return STATUS_LINE.search(value) is not None
+
+
 def parse_headers(head: bytes) -> Iterator[tuple[str, str]]:
     """Yield name and value of each header line of the last response in ``head``.
 
@@ -160,7 +175,7 @@
         "call_number",
         "curl",
         "head_buffer",
-        "head_exceeds_limit",
+        "head_malformed",
         "keepalive_probes",
         "lock",
         "may_open",
@@ -180,7 +195,7 @@
         self.body_buffer = io.BytesIO()
         # Status line and header lines of the response.
         self.head_buffer = io.BytesIO()
-        self.head_exceeds_limit = False
+        self.head_malformed = False
         self.curl = pycurl.Curl()
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -230,13 +245,26 @@
         return None
 
     def collect_head(self, line: bytes) -> int | None:
-        """Collect a line of a head or trailer; beyond the limit, -1 makes libcurl abort."""
+        """Collect a line of a head or trailer.
+
+        For a line beyond the limit, or one that two responses share, -1 makes libcurl abort.
+        """
         if self.head_buffer.tell() + len(line) > HEAD_LIMIT_BYTES:
-            self.head_exceeds_limit = True
+            self.head_malformed = True
+            return -1
+        # libcurl accepts a status line in the place of a header, or behind the begin of another.
+        begins_head = line.startswith(b"HTTP/") and self.expects_status_line()
+        if holds_status_line(line[1:] if begins_head else line):
+            self.head_malformed = True
             return -1
         self.head_buffer.write(line)
         return None
 
+    def expects_status_line(self) -> bool:
+        """Whether no head has begun yet, or only interim responses have been read."""
+        head = self.head_buffer.getvalue()
+        return not head or head.endswith(b"\r\n\r\n")
+
     @property
     def is_open(self) -> bool:
         """Whether a connection is open and idle.
@@ -339,7 +367,7 @@
             if self.aborted_call == self.call_number:
                 raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
         self.body_buffer = io.BytesIO()
-        self.head_exceeds_limit = False
+        self.head_malformed = False
         self.head_buffer.seek(0)
         self.head_buffer.truncate()
 
@@ -390,7 +418,7 @@
             sent=sent,
             connecting=not sent,
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
-            malformed=self.head_exceeds_limit,
+            malformed=self.head_malformed,
         )
 
     def abort(self, call_number: int) -> None:
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -4,7 +4,12 @@
 
 import httptools
 
-from rhubarbway.edge.http_client import HEAD_LIMIT_BYTES, REPLY_LIMIT_BYTES, Reply
+from rhubarbway.edge.http_client import (
+    HEAD_LIMIT_BYTES,
+    REPLY_LIMIT_BYTES,
+    Reply,
+    holds_status_line,
+)
 
 # Maximum number of header lines of a response, interim responses and trailers included.
 HEADER_LINE_LIMIT = 256
@@ -52,8 +57,10 @@
         "head_read",
         "header_count",
         "headers",
+        "holds_other_response",
         "interim_read",
         "parser",
+        "reason",
         "received_bytes",
         "request_incomplete",
         "reusable",
@@ -68,6 +75,9 @@
         self.body = bytearray()
         self.received_bytes = 0
         self.status = 0
+        # Reason phrase, and whether a status line was found within the head or the trailers.
+        self.reason = b""
+        self.holds_other_response = False
         self.head_read = False
         self.complete = False
         self.interim_read = False
@@ -93,6 +103,8 @@
             self.reusable = False
             if not self.complete:
                 raise ResponseError(str(error)) from None
+        if self.holds_other_response:
+            raise ResponseError("the response is cut off, and another one follows")
         self.check_limits()
 
     def check_limits(self) -> None:
@@ -144,12 +156,21 @@
         if not self.complete:
             self.headers.clear()
             self.head_read = False
+            self.reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase, which may arrive in parts."""
+        if not self.complete:
+            self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header line, or a trailer of a chunked body, up to the limit."""
         if self.complete:
             return
         self.header_count += 1
+        # The first test spares most headers the call.
+        if b"HTTP/1." in value and holds_status_line(value):
+            self.holds_other_response = True
         if self.header_count <= HEADER_LINE_LIMIT:
             self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -158,6 +179,7 @@
         if self.complete:
             return
         self.status = self.parser.get_status_code()
+        self.holds_other_response = self.holds_other_response or holds_status_line(self.reason)
         self.head_read = self.status >= 200
         self.interim_read = self.interim_read or not self.head_read
         if self.head_read and self.head_only:
