Recognise late copies of the store's replies

Replies of the store name no request, and fields that are absent count as empty. So a second copy of an earlier reply that arrives after the next request passed for the answer to it: the last page of a listing was an answer to a watch without events, at a later revision than that of the first page, and the changes between the two were never read; an empty watch was a listing without items, after which all servers count as deleted; a page was taken twice; the answer to an old watch confirmed the copy again.

The client now checks whether a reply can be the answer: its kind, keys after the requested one, revisions after the requested one, and for a watch without events the time that it waited. A reply on a used connection that cannot be is dropped with its connection, and the call is made once more on a new one, where any reply is taken as before. A status other than 200 and a body that cannot be decoded close the connection as well.

A store that ends watches early costs a second call for each of them.

--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -179,6 +179,7 @@
         "keepalive_probes",
         "lock",
         "may_open",
+        "reused",
         "sock",
     )
 
@@ -187,6 +188,8 @@
         self.keepalive_probes = keepalive_probes
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
+        # Whether the last call began on a connection that was open already.
+        self.reused = False
         # Whether libcurl may open a socket for the current call.
         self.may_open = True
         # Number of the call that was last aborted, and of the call that was last begun; 0 for none.
@@ -361,7 +364,8 @@
         """
         with self.lock:
             self.call_number += 1
-            self.may_open = not self.is_open
+            self.reused = self.is_open
+            self.may_open = not self.reused
             if self.may_open:
                 self.shut_down_socket()
             if self.aborted_call == self.call_number:
--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -4,11 +4,14 @@
 
 import base64
 import binascii
+import time
+from collections.abc import Callable
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from rhubarbway.edge.http_client import CallError, HttpConnection
 from rhubarbway.edge.json_codec import JsonError, decode_typed
@@ -19,6 +22,10 @@
 # Time limit of a watch beyond the wait that it requests, seconds.
 WATCH_MARGIN_S = 0.7
 CONNECT_TIMEOUT_S = 1.0
+# An answer without events that arrives earlier than this before the end of the requested wait may
+# belong to an earlier watch, seconds. The store waits from when it has the request, so its own
+# answer is never early but by the difference of two clocks.
+EARLY_ANSWER_S = 0.01
 # Largest revision: other hosts decode it as an integer of 64 bits.
 MAX_REVISION = 2**63 - 1
 
@@ -71,20 +78,30 @@
 
 
 class WireRange(msgspec.Struct, rename="camel"):
-    """Reply to ``kv-range``; ``at_rev`` is the revision of the store."""
+    """Reply to ``kv-range``; ``at_rev`` is the revision of the store.
+
+    Only the reply to a watch has ``events``.
+    """
 
     at_rev: Revision
-    items: list[WireItem] = []
+    items: list[WireItem] | UnsetType = UNSET
     has_more: bool = False
+    events: msgspec.Raw | UnsetType = UNSET
 
 
 class WireEvents(msgspec.Struct, rename="camel"):
-    """Reply to ``kv-watch``; the next watch continues after ``at_rev``."""
+    """Reply to ``kv-watch``; the next watch continues after ``at_rev``.
+
+    Only a page of a listing has ``items``.
+    """
 
     at_rev: Revision
-    events: list[WireItem] = []
+    events: list[WireItem] | UnsetType = UNSET
+    items: msgspec.Raw | UnsetType = UNSET
 
 
+WireReply = TypeVar("WireReply", WireRange, WireEvents)
+
 RANGE_DECODER = msgspec.json.Decoder(WireRange)
 EVENTS_DECODER = msgspec.json.Decoder(WireEvents)
 PROBLEM_BY_STATUS = {410: StoreProblem.HISTORY_GONE}
@@ -108,10 +125,15 @@
         """
         # ``pathPrefix`` is the store's name for a prefix of keys.
         query = {"pathPrefix": prefix} | ({"after": after_key} if after_key else {})
-        body = self.get("/v1/kv-range", query, timeout_s=READ_TIMEOUT_S)
-        wire = decode_body(RANGE_DECODER, body)
+
+        def read() -> tuple[WireRange, bool]:
+            body = self.get("/v1/kv-range", query, timeout_s=READ_TIMEOUT_S)
+            wire = self.decode(RANGE_DECODER, body)
+            return wire, is_page_after(wire, after_key)
+
+        wire = self.read_own_reply(read)
         return StorePage(
-            items=[item_from_wire(item) for item in wire.items],
+            items=[item_from_wire(item) for item in wire.items or ()],
             revision=wire.at_rev,
             has_more=wire.has_more,
         )
@@ -124,10 +146,38 @@
         StoreError
             If the store gave no usable reply; ``HISTORY_GONE`` if it no longer has the changes.
         """
-        query = {"pathPrefix": prefix, "after": after_revision, "waitMs": int(wait_s * 1000)}
-        body = self.get("/v1/kv-watch", query, timeout_s=wait_s + WATCH_MARGIN_S)
-        wire = decode_body(EVENTS_DECODER, body)
-        return StorePage(items=[item_from_wire(item) for item in wire.events], revision=wire.at_rev)
+        wait_ms = int(wait_s * 1000)
+        query = {"pathPrefix": prefix, "after": after_revision, "waitMs": wait_ms}
+
+        def read() -> tuple[WireEvents, bool]:
+            requested_at = time.monotonic()
+            body = self.get("/v1/kv-watch", query, timeout_s=wait_s + WATCH_MARGIN_S)
+            waited_s = time.monotonic() - requested_at
+            wire = self.decode(EVENTS_DECODER, body)
+            is_early = waited_s < wait_ms / 1000 - EARLY_ANSWER_S
+            return wire, is_answer_after(wire, after_revision, is_early=is_early)
+
+        wire = self.read_own_reply(read)
+        return StorePage(
+            items=[item_from_wire(item) for item in wire.events or ()], revision=wire.at_rev
+        )
+
+    def read_own_reply(self, read: Callable[[], tuple[WireReply, bool]]) -> WireReply:
+        """Return the reply of a call, which is repeated if the reply may be that of another call.
+
+        Replies of the store do not name their request, and a second, late copy of an earlier one
+        may arrive in place of the reply. No such copy arrives on a new connection.
+
+        Parameters
+        ----------
+        read : callable
+            Makes the call; returns the reply, and whether it can be that of this call.
+        """
+        reply, is_plausible = read()
+        if is_plausible or not self.connection.reused:
+            return reply
+        self.connection.disconnect()
+        return read()[0]
 
     def get(self, path: str, query: dict[str, object], *, timeout_s: float) -> bytes:
         """Send a ``GET`` request and return the body of the reply.
@@ -152,10 +202,27 @@
             self.connection.disconnect()
             raise StoreError(StoreProblem.UNREACHABLE, str(error)) from None
         if reply.status != 200:
+            # The status may be that of an earlier call, and the reply to this one may follow.
+            self.connection.disconnect()
             problem = PROBLEM_BY_STATUS.get(reply.status, StoreProblem.REFUSED)
             raise StoreError(problem, f"status {reply.status}")
         return reply.body
 
+    def decode(self, decoder: msgspec.json.Decoder, body: bytes):
+        """Decode the body of a reply; close the connection if that fails.
+
+        Raises
+        ------
+        StoreError
+            If the body does not have the expected format.
+        """
+        try:
+            return decode_body(decoder, body)
+        except StoreError:
+            # The body may be that of a reply which was cut off, with the begin of another one.
+            self.connection.disconnect()
+            raise
+
     def abort(self) -> None:
         """End the call in progress; may be called from any thread."""
         self.connection.abort(self.connection.call_number)
@@ -175,6 +242,41 @@
         raise StoreError(StoreProblem.BAD_BODY, str(error)) from None
 
 
+def is_page_after(wire: WireRange, after_key: str) -> bool:
+    """Return whether a reply can be the page of a listing that follows a key.
+
+    Examples
+    --------
+    >>> page = WireRange(at_rev=7, items=[WireItem(key="b")])
+    >>> is_page_after(page, "a"), is_page_after(page, "b"), is_page_after(WireRange(at_rev=7), "a")
+    (True, False, False)
+    """
+    if wire.items is UNSET or wire.events is not UNSET:
+        return False
+    return all(item.key > after_key for item in wire.items)
+
+
+def is_answer_after(wire: WireEvents, after_revision: int, *, is_early: bool) -> bool:
+    """Return whether a reply can be that to a watch after a revision.
+
+    A watch without events ends with its wait, so one that is early is not the answer to it.
+
+    Examples
+    --------
+    >>> answer = WireEvents(at_rev=7, events=[WireItem(key="a", revision=7)])
+    >>> [is_answer_after(answer, revision, is_early=True) for revision in (6, 7)]
+    [True, False]
+    >>> empty = WireEvents(at_rev=7, events=[])
+    >>> [is_answer_after(empty, 7, is_early=is_early) for is_early in (False, True)]
+    [True, False]
+    """
+    if wire.events is UNSET or wire.items is not UNSET or wire.at_rev < after_revision:
+        return False
+    if not wire.events:
+        return not is_early
+    return all(item.revision > after_revision for item in wire.events)
+
+
 def item_from_wire(wire: WireItem) -> StoreItem:
     """Return an item with its value decoded; an invalid base64 value becomes empty bytes."""
     if wire.compacted:
