Ignore the notices of a reply that belongs to another request

A server that answers a request twice may send the second copy after the next request. The copy was refused by its request id, but what it says of the server was taken first: a Retry-After counts from its receipt, so the time in which the server gets no requests began again with each copy. The id is now checked first.

--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -54,7 +54,7 @@
     decode : callable
         Returns the decoded reply, or None if it belongs to another request.
     decode_notice : callable
-        Returns what the server states about itself in any reply, or None if nothing.
+        Returns what the server states about itself in a reply to a request, or None if nothing.
     """
 
     __slots__ = ("decode", "decode_notice", "encode")
@@ -356,13 +356,14 @@
             return self.outcome_of_error(attempt, error)
         finally:
             attempt.connection = None
-        notice = self.codec.decode_notice(reply)
-        if notice is not None:
-            self.handle_notice(self, notice)
         decoded = self.codec.decode(reply, request)
         if decoded is None:
+            # Its notice is old, too: a time that begins with it would begin again.
             http.disconnect()
             return self.make_outcome(attempt, ExchangeEnd.FOREIGN, ExecutionStatus.UNKNOWN)
+        notice = self.codec.decode_notice(reply)
+        if notice is not None:
+            self.handle_notice(self, notice)
         if decoded.closes_connection:
             http.disconnect()
         connection.reusable_until = (
--- a/src/rhubarbway_standins/stuttering_server.py
+++ b/src/rhubarbway_standins/stuttering_server.py
@@ -23,7 +23,8 @@
     Attributes
     ----------
     moment : str
-        ``at_once`` (in the segment of the answer), ``idle`` or ``next_request``.
+        ``at_once`` (in the segment of the answer), ``idle``, ``next_request``, or ``next_head`` (as
+        soon as the head of the next request has arrived, and before an interim response to it).
     size : int or None
         Number of bytes of the copy that are sent; None for all.
     fraction : float
@@ -117,15 +118,15 @@
         """Task: answer the requests of one connection until it ends."""
         copy = b""
         with contextlib.suppress(OSError):
-            while (request := self.read_request(sock)) is not None:
+            while (request := self.read_request(sock, copy)) is not None:
                 with self.lock:
                     self.requests.append(request[0])
                     number = len(self.requests)
                 answer = self.answer(*request)
-                if copy:
+                if copy and self.stutter.moment == "next_request":
                     self.send_copy(sock, copy)
-                    copy = b""
                     time.sleep(PAUSE_S)
+                copy = b""
                 if not self.repeats(number):
                     sock.sendall(answer)
                 elif self.stutter.moment == "at_once":
@@ -147,10 +148,11 @@
         sock.sendall(copy)
         self.copies_sent.set()
 
-    def read_request(self, sock: socket.socket) -> tuple[bytes, bytes] | None:
+    def read_request(self, sock: socket.socket, copy: bytes) -> tuple[bytes, bytes] | None:
         """Return head and body of the next request, or None at the end of the connection.
 
-        A client that waits for an interim response before it sends the body gets one.
+        A client that waits for an interim response before it sends the body gets one. ``copy`` is
+        the second copy of the last answer that is still to be sent.
         """
         data = b""
         while b"\r\n\r\n" not in data:
@@ -159,6 +161,9 @@
                 return None
             data += received
         head, _, body = data.partition(b"\r\n\r\n")
+        if copy and self.stutter.moment == "next_head":
+            self.send_copy(sock, copy)
+            time.sleep(PAUSE_S)
         length = int(header(head, b"content-length") or 0)
         if len(body) < length and header(head, b"expect"):
             sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
