Tie the refusal of a delegate to its request

A 503 of a delegate counted as the refusal of whatever request the connection carried. A second copy of a refusal that arrived after the body of the next delegated request was sent let that fan-out run on both hosts. A refusal now repeats the request id, and one without it does not count.

A reply that arrives before the body was sent proves that the delegate has not run the request, whatever request it belongs to, so it counts as a refusal without content: that of the connection limit, which has no id, and a late copy, for which the search failed before although it could run here.

--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -46,13 +46,23 @@
 
 
 class Reply:
-    """Status code, headers and body of a response."""
+    """Status code, headers and body of a response.
 
-    __slots__ = ("body", "headers", "status")
+    ``request_incomplete`` is true if the response came before the whole request was sent, and the
+    rest of it is not sent any more.
+    """
+
+    __slots__ = ("body", "headers", "request_incomplete", "status")
 
     def __init__(
-        self, *, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
+        self,
+        *,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...] = (),
+        request_incomplete: bool = False,
     ) -> None:
+        self.request_incomplete = request_incomplete
         self.status = status
         self.body = body
         self.headers = headers
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -148,7 +148,12 @@
 
     def reply(self) -> Reply:
         """Return the response; ``complete`` must be true."""
-        return Reply(status=self.status, body=bytes(self.body), headers=tuple(self.headers))
+        return Reply(
+            status=self.status,
+            body=bytes(self.body),
+            headers=tuple(self.headers),
+            request_incomplete=self.request_incomplete,
+        )
 
     def on_message_begin(self) -> None:
         """Discard a preceding interim response, or mark that bytes follow the complete response."""
--- a/src/rhubarbway/platform/delegated_requests.py
+++ b/src/rhubarbway/platform/delegated_requests.py
@@ -60,12 +60,24 @@
 def reply_from_delegate(reply: Reply, request: ForwardedRequest) -> ReplicaReply | None:
     """Decode the reply of a delegate; return None if it does not belong to the request.
 
-    A refusal states that nothing was sent to any server, so that this host may run the fan-out.
+    A refusal states that nothing was sent to any server, so that this host may run the fan-out. The
+    same holds for any reply before the whole request was sent, whose content may be that of another
+    one.
     """
     headers_by_name = {name.lower(): value for name, value in reply.headers}
-    is_refused = reply.status == REFUSED_STATUS
-    if not is_refused and headers_by_name.get(REQUEST_ID.lower()) != request.request_id:
+    if reply.request_incomplete:
+        return ReplicaReply(
+            status=REFUSED_STATUS,
+            headers=(),
+            body=b"",
+            signature="",
+            ran=ExecutionStatus.NOT_RUN,
+            closes_connection=True,
+            is_failure=False,
+        )
+    if headers_by_name.get(REQUEST_ID.lower()) != request.request_id:
         return None
+    is_refused = reply.status == REFUSED_STATUS
     options = connection_options(headers_by_name)
     return ReplicaReply(
         status=reply.status,
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -422,7 +422,9 @@
             self.log.info(
                 "Delegated request refused.", request_id=forwarded.request_id, reason=problem
             )
-            return Response(problem, status=503)
+            return self.wire.encode(
+                ForwardedAnswer(status=503, detail=problem), request_id=forwarded.request_id
+            )
         forwarded.body = forwarded.body[len(START_MARK) :]
         with self.lock:
             self.running += 1
--- a/src/rhubarbway/services/tests/test_second_reply.py
+++ b/src/rhubarbway/services/tests/test_second_reply.py
@@ -1,4 +1,4 @@
-"""Tests of the connections to servers with a server that sends an answer twice.
+"""Tests of the connections to servers and delegates with a server that sends an answer twice.
 
 Over real sockets; ``edge/tests/test_second_reply.py`` has those of the connection classes.
 """
@@ -9,12 +9,14 @@
 import pytest
 
 from rhubarbway.model import BackendServer, ExchangeEnd, ExecutionStatus, ForwardedRequest
+from rhubarbway.platform.delegated_requests import delegated_request_encoder, reply_from_delegate
 from rhubarbway.platform.replicas import notice_from_http, reply_from_http, request_header_lines
 from rhubarbway.services.connection_tasks import ConnectionTasks
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.server_pool import ServerCodec, ServerPool
 from rhubarbway_standins.stuttering_server import (
     STUTTERS,
+    Stutter,
     StutteringServer,
     header,
     response,
@@ -24,6 +26,10 @@
 SERVER_CODEC = ServerCodec(
     encode=request_header_lines, decode=reply_from_http, decode_notice=notice_from_http
 )
+DELEGATE_CODEC = ServerCodec(
+    encode=delegated_request_encoder(version=lambda: 1, return_time_s=lambda server: 0.0),
+    decode=reply_from_delegate,
+)
 
 
 def request_id(head):
@@ -133,3 +139,49 @@
         assert harness.run(3).end is ExchangeEnd.ANSWERED
         # The time for which the server wants no requests does not begin again with a copy.
         assert len(harness.notices) == 1
+
+
+def answer_as_delegate(head, body):
+    return response(b"r" + body, f"X-Request-Id: {request_id(head)}", "X-Part-Stamps: s")
+
+
+def refuse_as_delegate(head, body):
+    """Refuse the first request as a delegate does, and answer the others."""
+    if request_id(head) != "q-1":
+        return answer_as_delegate(head, body)
+    return response(b"", f"X-Request-Id: {request_id(head)}", status="503 Service Unavailable")
+
+
+class TestDelegate:
+    def start_delegate(self, start, stutter, answer=answer_as_delegate):
+        return start(stutter, answer=answer, codec=DELEGATE_CODEC, acknowledgement_timeout_s=1.0)
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    @pytest.mark.parametrize("answer", [answer_as_delegate, refuse_as_delegate])
+    def test_no_request_gets_the_answer_of_another(self, start, name, answer):
+        """Guards against a search that gets the answer of another one, or runs on both hosts.
+
+        The delegate runs each whole request that it gets, but the first one.
+        """
+        harness = self.start_delegate(start, STUTTERS[name], answer)
+        outcomes = [harness.run(number) for number in (1, 2, 3)]
+        received = [request_id(head) for head in harness.server.requests]
+        for number, outcome in enumerate(outcomes[1:], start=2):
+            if outcome.ran is ExecutionStatus.NOT_RUN:
+                assert f"q-{number}" not in received
+                assert outcome.reply is None or outcome.reply.body == b""
+            elif outcome.end is ExchangeEnd.ANSWERED:
+                assert outcome.reply.body == b"r%d" % number
+            else:
+                assert (number, outcome.reply) == (2, None)
+        assert harness.server.connection_count == 2
+
+    @pytest.mark.parametrize("answer", [answer_as_delegate, refuse_as_delegate])
+    def test_a_reply_before_the_body_was_sent_is_a_refusal(self, start, answer):
+        """Guards against a search that fails although its delegate cannot have run it."""
+        harness = self.start_delegate(start, Stutter(moment="next_head"), answer)
+        harness.run(1)
+        outcome = harness.run(2)
+        assert (outcome.end, outcome.ran) == (ExchangeEnd.REFUSED, ExecutionStatus.NOT_RUN)
+        assert harness.run(3).reply.body == b"r3"
+        assert harness.server.connection_count == 2
