Number the feed requests of hosts

A reply of the feed named no request. A second copy that arrived after the next request was applied as its reply: nothing goes back, since changes are ordered by their revisions, but the age of the confirmation in it counted from its second arrival, so a copy of the store could pass for current when it was not.

A request now has a number, which the reply repeats; a reply with another number fails the poll, which closes the connection. Replies of hosts of an earlier version have none, and are taken as before.

--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -116,7 +116,8 @@
     recently. With ``members_only`` the reply needs no changes, and no members either if
     ``members_digest`` is that of the members which the receiver knows. ``settled`` is the revision
     of the store up to which the sender's copy lacks no change, 0 without a complete copy; the reply
-    to a first request then has the later changes only, if the receiver knows them all.
+    to a first request then has the later changes only, if the receiver knows them all. ``number``
+    identifies the request among those of the sender, and is repeated in the reply.
     """
 
     sender: WireMember
@@ -130,6 +131,7 @@
     members_only: bool = False
     members_digest: Name = ""
     settled: Counter = 0
+    number: Counter = 0
 
 
 class FeedReply(msgspec.Struct):
@@ -140,7 +142,8 @@
     ``revision`` of the store. ``members`` are the other hosts that the sender knows, or none if
     they were sent recently. ``confirmed_age_ms`` is the time since the store last confirmed that
     the sender's copy is current; None if it never did, or the reply carries no copy. ``settled``
-    and ``deletions_known_after`` are those of the sender's copy (``StoreCopy``).
+    and ``deletions_known_after`` are those of the sender's copy (``StoreCopy``). ``answers`` is the
+    number of the request; None from a host of an earlier version.
     """
 
     sender: WireMember
@@ -156,6 +159,7 @@
     confirmed_age_ms: Age | None = None
     settled: Counter = 0
     deletions_known_after: Counter = 0
+    answers: Counter | None = None
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import secrets
 import threading
 import time
@@ -101,6 +102,7 @@
         "random",
         "read_store_at",
         "registry",
+        "request_numbers",
         "report_mismatch",
         "seeds",
         "sent_to_followed_at",
@@ -149,6 +151,8 @@
         # Called for a follower's connection that carries other bytes than its task has sent.
         self.report_mismatch: ReportMismatch = ignore_mismatch
         self.feed_traffic = FeedTraffic(now=now)
+        # Numbers of the feed requests of this host.
+        self.request_numbers = itertools.count(1)
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(MAX_FOLLOWED_HOSTS, thread_name_prefix="fleet")
@@ -317,7 +321,7 @@
         CallError
             If no complete response arrived.
         FeedError
-            If the response is malformed or its status is not 200.
+            If the response is malformed, its status is not 200, or it answers another request.
         """
         request = feed_wire.FeedRequest(
             sender=self.own_member(),
@@ -331,6 +335,7 @@
             members_only=members_only,
             members_digest=self.members_digest() if members_only else "",
             settled=self.registry.settled_revision(),
+            number=next(self.request_numbers),
         )
         reply = connection.exchange(
             "POST",
@@ -350,7 +355,11 @@
         codings = [value for name, value in reply.headers if name.lower() == "content-encoding"]
         if codings == [feed_wire.CONTENT_CODING]:
             body = feed_wire.decompress_value(body)
-        return feed_wire.reply_from_json(body)
+        message = feed_wire.reply_from_json(body)
+        if message.answers not in (request.number, None):
+            # The age of the confirmation in it counts from when it was sent.
+            raise feed_wire.FeedError(f"reply to request {message.answers}, not {request.number}")
+        return message
 
     def query_seed(self, index: int) -> None:
         """Query one seed without waiting, to find hosts that this one does not know.
@@ -567,7 +576,7 @@
         members = self.members_for_follower(
             feed_request.sender.address, is_first=not after_is_valid
         )
-        return self.encode_reply(changes, members, compress=compress)
+        return self.encode_reply(changes, members, answers=feed_request.number, compress=compress)
 
     def reply_with_members(
         self, feed_request: feed_wire.FeedRequest, *, compress: bool
@@ -577,10 +586,15 @@
         if feed_request.members_digest != self.members_digest():
             members = self.members_for_follower(feed_request.sender.address, is_first=True)
         nothing = Changes(items=(), revision=0, sequence=0, whole=False, complete=False)
-        return self.encode_reply(nothing, members, compress=compress)
+        return self.encode_reply(nothing, members, answers=feed_request.number, compress=compress)
 
     def encode_reply(
-        self, changes: Changes, members: list[feed_wire.WireMember], *, compress: bool
+        self,
+        changes: Changes,
+        members: list[feed_wire.WireMember],
+        *,
+        answers: int,
+        compress: bool,
     ) -> Response:
         """Return the reply to a feed request, compressed if the follower accepts it.
 
@@ -601,6 +615,7 @@
             confirmed_age_ms=feed_wire.age_ms(changes.confirmed_at, now=time.monotonic()),
             settled=changes.settled_revision,
             deletions_known_after=changes.deletions_known_after,
+            answers=answers,
         )
         body = feed_wire.message_to_json(reply)
         headers = {}
