Close the connection of a hop whose reply is not its own

The connection to the owner of a slice went back to the pool before the reply was checked. After a second copy of an earlier reply the real reply was still to come, and the next hop on the connection got that one: each hop failed with the reply to the one before it. No answer was wrong, since replies name their hop.

--- a/src/rhubarbway/services/slices.py
+++ b/src/rhubarbway/services/slices.py
@@ -253,10 +253,18 @@
             slice_wire.request_to_json(body),
             timeout_s=max(0.001, deadline - time.monotonic()),
         )
+        try:
+            if reply.status != 200:
+                raise wire.MessageError(
+                    f"status {reply.status} from owner {owner.name}, expected 200"
+                )
+            decoded = slice_wire.reply_from_json(reply.body, request=body, owner=owner.name)
+        except wire.MessageError:
+            # The reply may belong to an earlier hop, and the one to this hop may follow.
+            connection.close()
+            raise
         self.peer_connections.release(connection)
-        if reply.status != 200:
-            raise wire.MessageError(f"status {reply.status} from owner {owner.name}, expected 200")
-        return slice_wire.reply_from_json(reply.body, request=body, owner=owner.name)
+        return decoded
 
     def answer_hop(self, request: Request) -> Response:
         """Run a query on the shards of one slice for another entry host.
--- /dev/null
+++ b/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
@@ -0,0 +1,165 @@
+"""Tests of this project's own protocol with a peer that answers twice, over real sockets."""
+
+import json
+import queue
+import time
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from rhubarbway.edge import slice_wire, token_wire, wire
+from rhubarbway.edge.http_client import CallError
+from rhubarbway.edge.json_codec import hex_digest
+from rhubarbway.model import (
+    AttemptId,
+    EntryHost,
+    ExecutionStatus,
+    HostIdentity,
+    OutcomeKind,
+    Replica,
+    SubQuery,
+)
+from rhubarbway.services.replica_pool import Attempt, ReplicaPool
+from rhubarbway.services.slices import SliceService
+from rhubarbway.services.tokens import TokenService
+from rhubarbway_standins.stuttering_server import STUTTERS, StutteringServer, response
+
+TIMEOUT_S = 10.0
+IDENTITY = HostIdentity(
+    name="e1", address="127.0.0.1:1", zone="z", incarnation="aa", started_at=1.0
+)
+
+
+@pytest.fixture
+def start():
+    """Return a function that starts a peer, which stops at the end of the test."""
+    running = []
+
+    def start_server(name, answer, **options):
+        running.append(StutteringServer(answer=answer, stutter=STUTTERS[name], **options))
+        return running[-1]
+
+    yield start_server
+    for server in running:
+        server.stop()
+
+
+class TestReplica:
+    """Host to replica: sub-queries carry the id of the attempt, status requests carry none."""
+
+    def answer(self, head, body):
+        state = {"incarnation": "r1", "held_snapshots": ["s-1"], "layout": "l", "draining": False}
+        if b"/v1/status" in head:
+            return response(json.dumps(state).encode())
+        request = json.loads(body)
+        items = json.dumps([request["payload"]]).encode()
+        state |= {name: request[name] for name in ("attempt", "service", "shard", "snapshot")}
+        state |= {"length": len(items), "digest": hex_digest(items), "items": msgspec.Raw(items)}
+        return response(msgspec.json.encode(state))
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    @pytest.mark.parametrize("repeated", [1, 2, 3])
+    def test_no_attempt_gets_the_answer_of_another(self, start, name, repeated):
+        """Guards against a shard whose answer is that of another query, or a part of one."""
+        server = start(name, self.answer, repeats=lambda number: number == repeated)
+        executor = ThreadPoolExecutor(4)
+        replica = Replica(
+            name="r", address=server.address, zone="z", slots=2, connections=8, connect_ms=0.0
+        )
+        pool = ReplicaPool(replica=replica, in_flight_cap=1, spawn=executor.submit)
+        outcomes = queue.SimpleQueue()
+        kinds = []
+        for number in range(1, 6):
+            sub_query = SubQuery(
+                attempt=AttemptId(host="e1", incarnation="aa", counter=number),
+                service="desk",
+                layout="l",
+                shard=0,
+                snapshot="s-1",
+                payload_json=b"%d" % number,
+                deadline=time.monotonic() + TIMEOUT_S,
+                unsafe=False,
+            )
+            pool.submit(Attempt(sub_query=sub_query, on_outcome=outcomes.put))
+            outcome = outcomes.get(timeout=2 * TIMEOUT_S)
+            kinds.append(outcome.kind)
+            if outcome.kind is OutcomeKind.ANSWERED:
+                assert json.loads(outcome.answer.items_json) == [number]
+            elif outcome.kind is not OutcomeKind.CONNECT_FAILED:
+                assert outcome.ran is ExecutionStatus.UNKNOWN
+        pool.close()
+        executor.shutdown(wait=True)
+        assert sum(kind is not OutcomeKind.ANSWERED for kind in kinds) <= 1
+        assert kinds[-1] is OutcomeKind.ANSWERED
+        assert server.connection_count >= 2
+
+
+class TestSlices:
+    def answer(self, head, body):
+        hop = slice_wire.request_from_json(body).hop
+        return response(
+            slice_wire.reply_to_json(
+                hop, snapshots=[hop], answer=None, ran=ExecutionStatus.NOT_RUN, attempts=0
+            )
+        )
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_a_connection_with_a_wrong_reply_is_not_used_again(self, start, name):
+        """Guards against hops that fail one after the other, each with the reply to the last."""
+        server = start(name, self.answer)
+        service = SliceService(identity=IDENTITY)
+        owner = EntryHost(name="e2", address=server.address, zone="z")
+        for number in (1, 2, 3):
+            body = slice_wire.SliceBody(
+                hop=f"hop-{number}",
+                job="j",
+                service="desk",
+                layout="l",
+                first=0,
+                last=0,
+                snapshot=None,
+                deadline_ms=1000,
+                unsafe=False,
+                digest="",
+                shape="",
+                payload=msgspec.Raw(b"{}"),
+            )
+            try:
+                reply = service.send_hop(owner, body, deadline=time.monotonic() + TIMEOUT_S)
+                assert reply.snapshots == [body.hop]
+            except (CallError, wire.MessageError):
+                assert number == 2
+        assert server.connection_count == 2
+        service.stop()
+
+
+class TestTokens:
+    def answer(self, head, body):
+        forward = token_wire.forward_from_json(body, default_deadline_ms=1000)
+        text = json.dumps({"request_id": forward.query.request_id}).encode()
+        return response(
+            token_wire.forward_reply_to_json(forward.transfer_id, status=200, body=text)
+        )
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_no_request_gets_the_answer_of_another(self, start, name):
+        """Guards against an unsafe request that is answered with the outcome of another one."""
+        server = start(name, self.answer)
+        service = TokenService(identity=IDENTITY)
+        issuer = EntryHost(name="e2", address=server.address, zone="z")
+        service.manifest = SimpleNamespace(in_force=SimpleNamespace(entry_hosts=[issuer]))
+        for number in (1, 2, 3):
+            text = {"request_id": f"q-{number}", "job": "j", "unsafe": True, "token": "t"}
+            query = wire.query_from_json(
+                json.dumps(text).encode(), default_deadline_ms=int(TIMEOUT_S * 1000)
+            )
+            reply = service.forward_to_issuer(query, SimpleNamespace(host="e2"))
+            answered = json.loads(reply.get_data())
+            assert answered["request_id"] == f"q-{number}"
+            assert reply.status_code == 200 or (
+                number == 2 and answered["error"]["ran"] == ExecutionStatus.UNKNOWN.value
+            )
+        assert server.connection_count == 2
+        service.stop()
