Number the gossip exchanges of hosts

A reply of the gossip named no exchange. A second copy that arrived after the next message was applied as its reply. Records do not go back, but the exchange counted as successful: the gate that holds queries after a suspension opened with a view from before it, and updates in a lost message were not sent again.

A message now has a number, which the reply repeats. A reply with another number fails the exchange. A wrong reply of any kind closes the connection; it stayed in use before. Messages of hosts of an earlier version have no number, and are taken as before.

--- a/src/rhubarbway/edge/gossip_wire.py
+++ b/src/rhubarbway/edge/gossip_wire.py
@@ -44,7 +44,8 @@
     sender holds or, while it starts, knows from reports of other hosts, with its digest.
     ``confirmed`` states whether a manifest is in force there. ``resync`` requests all updates,
     because an earlier exchange failed. ``survey`` requests ``held`` and ``confirmed`` only.
-    ``news`` holds the updates.
+    ``news`` holds the updates. ``exchange`` is the number of the exchange among those of the
+    sender, which the reply repeats; 0 from a host of an earlier version.
     """
 
     sender: MemberRecordBody
@@ -53,6 +54,7 @@
     resync: bool = False
     survey: bool = False
     news: list[UpdateBody] = []
+    exchange: int = 0
 
 
 class ManifestBody(msgspec.Struct, omit_defaults=True):
--- a/src/rhubarbway/services/peers.py
+++ b/src/rhubarbway/services/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -61,6 +62,7 @@
     __slots__ = (
         "bytes_transferred",
         "exchange_count",
+        "exchange_numbers",
         "executor",
         "fellow_hosts",
         "frontend",
@@ -110,6 +112,8 @@
             query_host=self.request_version,
         )
         self.exchange_count = 0
+        # Numbers of the exchanges that this host starts.
+        self.exchange_numbers = itertools.count(1)
         self.bytes_transferred = 0
         self.log = component_logger("peers")
         self.manifest: ManifestService
@@ -246,13 +250,20 @@
     def exchange(self, link: PeerLink) -> None:
         """Send one message and apply the reply, or record the failed exchange."""
         requested_at = time.monotonic()
-        body, updates = self.build_message(link.peer, resync=link.last_exchange_failed)
+        number = next(self.exchange_numbers)
+        body, updates = self.build_message(
+            link.peer, resync=link.last_exchange_failed, exchange=number
+        )
         try:
             reply = self.send_with_reconnect(link, encode_json(body))
             if reply.status != 200:
                 raise MessageError(f"HTTP status {reply.status} instead of 200")
             message = gossip_wire.gossip_from_json(reply.body)
+            if message.exchange not in (number, 0):
+                raise MessageError(f"reply to exchange {message.exchange}, not {number}")
         except (CallError, MessageError) as error:
+            # A wrong reply may belong to an earlier request, and the one to this may follow.
+            link.connection.disconnect()
             with self.lock:
                 link.peer.outbox.restore(updates)
                 suspect_record = self.membership.record_failed_exchange(
@@ -300,7 +311,7 @@
         return connection.call("POST", "/v1/peer/gossip", body, timeout_s=EXCHANGE_TIMEOUT_S)
 
     def build_message(
-        self, peer: GossipPeer, *, resync: bool
+        self, peer: GossipPeer, *, resync: bool, exchange: int = 0
     ) -> tuple[gossip_wire.GossipBody, list[GossipUpdate]]:
         """Return the next message to a gossip peer and the updates in it."""
         with self.lock:
@@ -311,6 +322,7 @@
                 held=self.manifest.known_version_key,
                 confirmed=self.manifest.in_force is not None,
                 resync=resync,
+                exchange=exchange,
             )
             limit = message_limit_bytes(len(self.links)) - len(encode_json(body))
             updates = peer.outbox.take_batch(max_bytes=limit)
@@ -534,7 +546,7 @@
                 peer = self.apply_message(message)
         except MessageError as error:
             return self.frontend.respond_to_bad_request(400, str(error))
-        body, _ = self.build_message(peer, resync=False)
+        body, _ = self.build_message(peer, resync=False, exchange=message.exchange)
         reply = encode_json(body)
         self.exchange_count += 1
         self.bytes_transferred += len(data) + len(reply)
--- a/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
+++ b/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
-from rhubarbway.edge import slice_wire, token_wire, wire
+from rhubarbway.edge import gossip_wire, slice_wire, token_wire, wire
 from rhubarbway.edge.http_client import CallError
-from rhubarbway.edge.json_codec import hex_digest
+from rhubarbway.edge.json_codec import encode_json, hex_digest
 from rhubarbway.model import (
     AttemptId,
     EntryHost,
@@ -21,6 +21,8 @@
     Replica,
     SubQuery,
 )
+from rhubarbway.services.peer_link import GossipPeer, PeerLink
+from rhubarbway.services.peers import PeerService
 from rhubarbway.services.replica_pool import Attempt, ReplicaPool
 from rhubarbway.services.slices import SliceService
 from rhubarbway.services.tokens import TokenService
@@ -163,3 +165,39 @@
             )
         assert server.connection_count == 2
         service.stop()
+
+
+class TestGossip:
+    def answer(self, head, body):
+        """Reply as a host that holds the version of the number of the request."""
+        request = gossip_wire.gossip_from_json(body)
+        self.count += 1
+        sender = gossip_wire.MemberRecordBody(
+            name="e2", incarnation="b", started_ms=1, heartbeat=1, state="alive", blind=False
+        )
+        reply = gossip_wire.GossipBody(
+            sender=sender, held=(self.count, ""), confirmed=True, exchange=request.exchange
+        )
+        return response(encode_json(reply))
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_a_copy_is_not_taken_for_the_next_reply(self, start, monkeypatch, name):
+        """Guards against an old view that ends the wait of a host which was suspended.
+
+        An exchange that got no reply of its own has to fail, so that its updates are sent again.
+        """
+        self.count = 0
+        applied = []
+        monkeypatch.setattr(
+            PeerService, "apply_message", lambda peers, message: applied.append(message.held[0])
+        )
+        server = start(name, self.answer)
+        peers = PeerService(identity=IDENTITY, fellow_hosts=[])
+        peers.manifest = SimpleNamespace(known_version_key=(0, ""), in_force=object())
+        link = PeerLink(name="e2", address=server.address, peer=GossipPeer(name="e2"))
+        for number in (1, 2, 3):
+            peers.exchange(link)
+            assert link.last_exchange_failed in (False, number == 2)
+            assert link.last_exchange_failed or applied[-1] == self.count
+        link.connection.disconnect()
+        assert server.connection_count == 2
