Do not take a copy of an old manifest for a fetched one

A second copy of an earlier reply that arrived in place of the fetched manifest was refused as old, but the fetch counted as done, and the connection stayed in use. The new version then came with the next message of the host. A reply with an earlier version than the host has announced now closes the connection, and the version counts as unknown until the host's next message. So does any reply that cannot be decoded.

--- a/src/rhubarbway/services/manifest_exchange.py
+++ b/src/rhubarbway/services/manifest_exchange.py
@@ -66,13 +66,15 @@
                 return
             have, digest = self.manifest.held_version_key
             path = f"/v1/peer/manifest?have={have}&digest={digest}"
-            fetched = self.fetch_and_offer(connection, path, name)
+            fetched = self.fetch_and_offer(connection, path, name, version_key)
             if not fetched and have:
                 path = "/v1/peer/manifest?have=0"
-                fetched = self.fetch_and_offer(connection, path, name)
+                fetched = self.fetch_and_offer(connection, path, name, version_key)
             if not fetched:
                 raise MessageError(f"manifest version {version_key[0]} was not accepted")
         except (CallError, MessageError) as error:
+            # A wrong reply may belong to an earlier request, and the one to this may follow.
+            connection.disconnect()
             self.log.warning("Fetching the manifest failed.", host=name, error=str(error))
             self.peers.forget_version_key(name)
         finally:
@@ -81,13 +83,23 @@
             if link.name != name:
                 link.wake(fetch=True)
 
-    def fetch_and_offer(self, connection: HttpConnection, path: str, name: str) -> bool:
-        """Fetch a manifest and offer it; return whether it or a greater one is held now."""
+    def fetch_and_offer(
+        self, connection: HttpConnection, path: str, name: str, version_key: tuple[int, str]
+    ) -> bool:
+        """Fetch a manifest and offer it; return whether it or a greater one is held now.
+
+        An earlier version than ``version_key``, which the host has announced, is offered as well: a
+        starting host announces versions that it does not hold yet. But it may also be a second copy
+        of an earlier reply, so the connection is not used again.
+        """
         reply = connection.call("GET", path, None, timeout_s=MANIFEST_TIMEOUT_S)
         if reply.status != 200:
             raise MessageError(f"HTTP status {reply.status} instead of 200")
         self.bytes_transferred += len(reply.body)
         body = gossip_wire.manifest_from_json(reply.body)
+        if (body.version, body.digest) < version_key:
+            connection.disconnect()
+            self.peers.forget_version_key(name)
         if body.base:
             self.manifest.offer_delta(
                 base_version=body.base, patch=bytes(body.patch), digest=body.digest, source=name
--- a/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
+++ b/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
@@ -10,8 +10,9 @@
 import pytest
 
 from rhubarbway.edge import gossip_wire, slice_wire, token_wire, wire
-from rhubarbway.edge.http_client import CallError
+from rhubarbway.edge.http_client import CallError, HttpConnection
 from rhubarbway.edge.json_codec import encode_json, hex_digest
+from rhubarbway.manifest import manifest_from_bytes
 from rhubarbway.model import (
     AttemptId,
     EntryHost,
@@ -21,10 +22,14 @@
     Replica,
     SubQuery,
 )
+from rhubarbway.services.manifest import ManifestService
+from rhubarbway.services.manifest_exchange import ManifestExchange
+from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.peer_link import GossipPeer, PeerLink
 from rhubarbway.services.peers import PeerService
 from rhubarbway.services.replica_pool import Attempt, ReplicaPool
 from rhubarbway.services.slices import SliceService
+from rhubarbway.services.tests.test_manifest import make_document
 from rhubarbway.services.tokens import TokenService
 from rhubarbway_standins.stuttering_server import STUTTERS, StutteringServer, response
 
@@ -201,3 +206,38 @@
             assert link.last_exchange_failed or applied[-1] == self.count
         link.connection.disconnect()
         assert server.connection_count == 2
+
+
+class TestManifestExchange:
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_the_manifest_held_is_the_one_that_was_fetched(self, start, name):
+        """Guards against a fetch that counts as done with a copy of an earlier version."""
+        documents = [encode_json(make_document(version)) for version in (1, 2, 3)]
+        remaining = list(documents)
+        keys = [manifest_from_bytes(text, source="t").unwrap().version_key for text in documents]
+
+        def answer(head, body):
+            # Each request gets the next version; the last one is repeated.
+            document = remaining.pop(0) if len(remaining) > 1 else remaining[0]
+            version, digest = keys[documents.index(document)]
+            reply = gossip_wire.ManifestBody(
+                version=version, digest=digest, document=msgspec.Raw(document)
+            )
+            return response(encode_json(reply))
+
+        server = start(name, answer)
+        exchange = ManifestExchange()
+        exchange.manifest = ManifestService(name="a", check_floor=False)
+        exchange.manifest.metrics = MetricsService()
+        forgotten = []
+        exchange.peers = SimpleNamespace(
+            forget_version_key=forgotten.append, links_ahead=lambda key: []
+        )
+        connection = HttpConnection(address=server.address)
+        for key in keys:
+            failures = len(forgotten)
+            exchange.fetch(connection, "b", key)
+            assert exchange.manifest.held_version_key >= key or len(forgotten) > failures
+        assert exchange.manifest.held_version_key == keys[-1]
+        assert server.connection_count == 2
+        connection.disconnect()
