Read each host list on a connection of its own

Host lists have no version, so a second copy of an earlier list that arrived in place of the next one was announced to all hosts as the newest state. It also closes the connection to the configuration service after a manifest that is refused, which may be a copy of an earlier reply; a manifest in force never went back.

--- a/src/rhubarbway/services/platform.py
+++ b/src/rhubarbway/services/platform.py
@@ -167,6 +167,8 @@
             has_read = True
             self.blind = False
             if reply.status == 200 and not self.manifest.offer(reply.body, source="service"):
+                # It may be a second copy of an earlier reply.
+                connection.disconnect()
                 self.wait_for_stop(REFUSED_MANIFEST_DELAY_S)
         connection.close()
 
@@ -195,6 +197,8 @@
                     self.apply_host_list(gossip_wire.host_list_from_json(reply.body))
             except (CallError, MessageError) as error:
                 self.log.warning("Reading the host list failed.", error=str(error))
+            # A list has no version, so a second, late copy of one could not be told from a new one.
+            connection.disconnect()
             self.wait_for_stop(HOST_LIST_INTERVAL_S)
         connection.close()
 
--- a/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
+++ b/src/rhubarbway/services/tests/test_second_reply_of_hosts.py
@@ -2,6 +2,7 @@
 
 import json
 import queue
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
@@ -22,11 +23,13 @@
     Replica,
     SubQuery,
 )
+from rhubarbway.services import platform as platform_module
 from rhubarbway.services.manifest import ManifestService
 from rhubarbway.services.manifest_exchange import ManifestExchange
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.peer_link import GossipPeer, PeerLink
 from rhubarbway.services.peers import PeerService
+from rhubarbway.services.platform import PlatformService
 from rhubarbway.services.replica_pool import Attempt, ReplicaPool
 from rhubarbway.services.slices import SliceService
 from rhubarbway.services.tests.test_manifest import make_document
@@ -53,6 +56,13 @@
         server.stop()
 
 
+def wait_until(condition):
+    end = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
 class TestReplica:
     """Host to replica: sub-queries carry the id of the attempt, status requests carry none."""
 
@@ -241,3 +251,58 @@
         assert exchange.manifest.held_version_key == keys[-1]
         assert server.connection_count == 2
         connection.disconnect()
+
+
+class TestPlatform:
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_versions_of_the_configuration_only_rise(self, start, monkeypatch, name):
+        """Guards against a manifest that goes back, or a version that is never read."""
+        monkeypatch.setattr(platform_module, "REFUSED_MANIFEST_DELAY_S", 0.0)
+        monkeypatch.setattr(platform_module, "INITIAL_RETRY_DELAY_S", 0.01)
+
+        def answer(head, body):
+            after = int(head.split(b"after=")[1].split(b"&")[0])
+            if after >= 3:
+                time.sleep(0.1)
+                return b"HTTP/1.1 204 No Content\r\n\r\n"
+            return response(encode_json(make_document(after + 1)))
+
+        server = start(name, answer)
+        service = PlatformService(configuration_service=server.address, host_list=server.address)
+        service.manifest = ManifestService(name="a", check_floor=False)
+        service.manifest.metrics = MetricsService()
+        service.is_reader = True
+        held = []
+        service.manifest.subscribe(lambda manifest: held.append(manifest.version))
+        task = threading.Thread(target=service.watch_configuration)
+        task.start()
+        wait_until(lambda: len(server.requests) >= 6)
+        service.stop()
+        task.join()
+        assert held == [1, 2, 3]
+        assert server.connection_count >= 2
+
+    @pytest.mark.parametrize("name", STUTTERS)
+    def test_each_read_of_the_host_list_is_a_new_one(self, start, monkeypatch, name):
+        """Guards against an old host list whose changes are announced as the newest ones."""
+        monkeypatch.setattr(platform_module, "HOST_LIST_INTERVAL_S", 0.0)
+        read = []
+        monkeypatch.setattr(
+            PlatformService, "apply_host_list", lambda service, listed: read.append(listed[0].name)
+        )
+        counter = iter(range(1, 1000))
+
+        def answer(head, body):
+            host = {"name": f"{next(counter)}", "address": "h:1", "zone": "z", "state": "live"}
+            return response(json.dumps({"hosts": [host]}).encode())
+
+        server = start(name, answer)
+        service = PlatformService(configuration_service=server.address, host_list=server.address)
+        service.is_reader = True
+        service.manifest = SimpleNamespace(held=None)
+        task = threading.Thread(target=service.read_host_list)
+        task.start()
+        wait_until(lambda: len(read) >= 5)
+        service.stop()
+        task.join()
+        assert read[:5] == ["1", "2", "3", "4", "5"]
