--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import io
+import re
 import select
 import socket
 import threading
@@ -28,6 +29,9 @@
 # adds ``Host`` and ``Content-Length``, which are not suppressed.
 CURL_DEFAULT_HEADERS = ("Expect:", "Accept:", "User-Agent:")
 JSON_HEADERS = ("Content-Type: application/json",)
+# Begin of a status line. Within a header or a reason phrase it is the begin of another response:
+# the bytes before it belong to one that was cut off.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
 
 
 # TCP keepalive probes start after 1 s without traffic; a peer that does not acknowledge them is
@@ -42,13 +46,23 @@
 
 
 class Reply:
-    """Status code, headers and body of a response."""
+    """Status code, headers and body of a response.
 
-    __slots__ = ("body", "headers", "status")
+    ``request_incomplete`` is true if the response came before the whole request was sent, and the
+    rest of it is not sent any more.
+    """
+
+    __slots__ = ("body", "headers", "request_incomplete", "status")
 
     def __init__(
-        self, *, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
+        self,
+        *,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...] = (),
+        request_incomplete: bool = False,
     ) -> None:
+        self.request_incomplete = request_incomplete
         self.status = status
         self.body = body
         self.headers = headers
@@ -107,6 +121,17 @@
     ]
 
 
+def holds_status_line(value: bytes) -> bool:
+    """Return whether a header value or a reason phrase contains the begin of a status line.
+
+    Examples
+    --------
+    >>> holds_status_line(b"textHTTP/1.1 200 OK"), holds_status_line(b"HTTP/1.1 proxy")
+    (True, False)
+    """
+    return STATUS_LINE.search(value) is not None
+
+
 def parse_headers(head: bytes) -> Iterator[tuple[str, str]]:
     """Yield name and value of each header line of the last response in ``head``.
 
@@ -160,10 +185,11 @@
         "call_number",
         "curl",
         "head_buffer",
-        "head_exceeds_limit",
+        "head_malformed",
         "keepalive_probes",
         "lock",
         "may_open",
+        "reused",
         "sock",
     )
 
@@ -172,6 +198,8 @@
         self.keepalive_probes = keepalive_probes
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
+        # Whether the last call began on a connection that was open already.
+        self.reused = False
         # Whether libcurl may open a socket for the current call.
         self.may_open = True
         # Number of the call that was last aborted, and of the call that was last begun; 0 for none.
@@ -180,7 +208,7 @@
         self.body_buffer = io.BytesIO()
         # Status line and header lines of the response.
         self.head_buffer = io.BytesIO()
-        self.head_exceeds_limit = False
+        self.head_malformed = False
         self.curl = pycurl.Curl()
         self.curl.setopt(pycurl.NOSIGNAL, 1)
         self.curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -230,13 +258,26 @@
         return None
 
     def collect_head(self, line: bytes) -> int | None:
-        """Collect a line of a head or trailer; beyond the limit, -1 makes libcurl abort."""
+        """Collect a line of a head or trailer.
+
+        For a line beyond the limit, or one that two responses share, -1 makes libcurl abort.
+        """
         if self.head_buffer.tell() + len(line) > HEAD_LIMIT_BYTES:
-            self.head_exceeds_limit = True
+            self.head_malformed = True
+            return -1
+        # libcurl accepts a status line in the place of a header, or behind the begin of another.
+        begins_head = line.startswith(b"HTTP/") and self.expects_status_line()
+        if holds_status_line(line[1:] if begins_head else line):
+            self.head_malformed = True
             return -1
         self.head_buffer.write(line)
         return None
 
+    def expects_status_line(self) -> bool:
+        """Whether no head has begun yet, or only interim responses have been read."""
+        head = self.head_buffer.getvalue()
+        return not head or head.endswith(b"\r\n\r\n")
+
     @property
     def is_open(self) -> bool:
         """Whether a connection is open and idle.
@@ -362,13 +403,14 @@
         with self.lock:
             if call_number is None:
                 self.call_number += 1
-            self.may_open = not self.is_open
+            self.reused = self.is_open
+            self.may_open = not self.reused
             if self.may_open:
                 self.shut_down_socket()
             if self.aborted_call == self.call_number:
                 raise CallError("cancelled", sent=False, connecting=False, timed_out=False)
         self.body_buffer = io.BytesIO()
-        self.head_exceeds_limit = False
+        self.head_malformed = False
         self.head_buffer.seek(0)
         self.head_buffer.truncate()
 
@@ -419,7 +461,7 @@
             sent=sent,
             connecting=not sent,
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
-            malformed=self.head_exceeds_limit,
+            malformed=self.head_malformed,
         )
 
     def abort(self, call_number: int) -> None:
