Pass on header values outside ASCII in answers

A replica's answer with a byte above 127 in any header closed the caller's connection without an answer, also after an unsafe request had run. HttpServer gave h11 header values as str, which h11 encodes as ASCII. Both readers of responses decode them as Latin-1, so they are now encoded as Latin-1 again and arrive unchanged (obs-text, RFC 9110, section 5.5).

The new test fails without the change: the connection closes without a byte.

--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -360,12 +360,7 @@
             h11.DONE,
             h11.SEND_BODY,
         )
-        headers = list(response.headers.items())
-        if not keep_alive:
-            headers.append(("Connection", "close"))
-        data = connection.send(h11.Response(status_code=response.status_code, headers=headers))
-        data += connection.send(h11.Data(data=body)) if body else b""
-        data += connection.send(h11.EndOfMessage())
+        data = encode_response(connection, response, body=body, keep_alive=keep_alive)
         state.sent.send_all(state.sock, data)
         state.sent.compare(state.sock, state.peer, self.report_mismatch)
         return keep_alive and connection.our_state is h11.DONE
@@ -439,6 +434,34 @@
         raise RequestTooLarge(f"the body exceeds {limits.max_body_bytes} bytes")
 
 
+def encode_response(
+    connection: h11.Connection, response: Response, *, body: bytes, keep_alive: bool
+) -> bytes:
+    """Return the bytes of a response.
+
+    Header values are opaque bytes that are read and written as Latin-1 text; those outside ASCII
+    (``obs-text``) are passed on as they are.
+
+    Raises
+    ------
+    h11.LocalProtocolError, UnicodeError
+        If the response has no valid encoding, such as a 204 with a body.
+
+    References
+    ----------
+    RFC 9110, section 5.5.
+    """
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers.items()
+    ]
+    if not keep_alive:
+        headers.append((b"Connection", b"close"))
+    data = connection.send(h11.Response(status_code=response.status_code, headers=headers))
+    data += connection.send(h11.Data(data=body)) if body else b""
+    return data + connection.send(h11.EndOfMessage())
+
+
 def shutdown_socket(sock: socket.socket) -> None:
     """Shut the socket down in both directions, which wakes any thread that waits on it."""
     with contextlib.suppress(OSError):
--- a/src/rhubarbway/edge/tests/test_http_server.py
+++ b/src/rhubarbway/edge/tests/test_http_server.py
@@ -82,6 +82,19 @@
             assert read_all(sock).startswith(b"HTTP/1.1 413")
 
 
+class TestAnswers:
+    def test_a_header_value_with_any_byte_above_ascii_arrives_unchanged(self, gated):
+        """Guards against an answer whose header is not ASCII and that closes the connection."""
+        value = bytes(range(0x80, 0x100)) + "trăsură.pdf".encode()
+        headers = {"X-Name": value.decode("latin-1")}
+        gated.server.handler = lambda request: Response(b"answer", headers=headers)
+        with gated.connect() as sock:
+            for request in (GET, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")):
+                sock.sendall(request)
+            data = read_all(sock)
+        assert data.count(b": " + value + b"\r\n") == data.count(b"answer") == 2
+
+
 class TestStop:
     def test_a_running_request_is_answered_and_the_listener_closed(self, gated):
         """Guards against a stop that cuts requests in flight or goes on accepting."""
