Log and count exceptions that end a connection or replace an answer

serve_connection dropped every LocalProtocolError of h11, and any exception that it did not expect ended its task in a future that nobody reads. Both left no line in the log. An answer that HTTP cannot carry, such as a 204 with a body, becomes a 502, which promises nothing, in place of a closed connection. An exception of the handler still closes the connection.

The four new tests of the server fail without the change.

--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import io
+import logging
 import select
 import selectors
 import socket
@@ -47,6 +48,10 @@
     idle_timeout_s=IDLE_TIMEOUT_S,
 )
 
+# Sent in place of an answer that has no valid encoding. The request may have run, and 502 promises
+# nothing to the caller.
+UNSENDABLE_REPLY = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 # Key of the ``h11.Request`` in the WSGI environment, for a handler that forwards requests as they
 # are.
 HEAD_KEY = "rhubarbway.head"
@@ -57,6 +62,13 @@
 
 Handler = Callable[[Request], Response]
 ErrorHandler = Callable[[int, str], Response]
+# ``report(peer, error)`` is called with an exception that ended a connection or replaced an answer.
+FailureReport = Callable[[str, Exception], None]
+
+
+def log_failure(peer: str, error: Exception) -> None:
+    """Log a failure with its traceback, for a server whose owner does not count failures."""
+    logging.getLogger(__name__).error("Connection of %s failed.", peer, exc_info=error)
 
 
 class RequestTooLarge(Exception):
@@ -95,8 +107,8 @@
     address : tuple of (str, int)
         Address to listen on; port 0 selects a free port.
     handler : callable
-        Maps a ``werkzeug`` request to a response. It must not raise; an exception closes the
-        connection without a reply.
+        Maps a ``werkzeug`` request to a response. It must not raise; an exception is reported and
+        closes the connection without a reply.
     error_handler : callable
         Maps a status code and a detail to the response to a request that is refused before the
         handler is called. The response may have another status.
@@ -109,6 +121,9 @@
         limit on a head that arrives in several reads stays that of the opening.
     report_mismatch : callable
         Called with the peer of a connection that carries other bytes than the server has sent.
+    report_failure : callable
+        Called with each exception that is no end of the connection and no fault of the caller: of
+        the handler, or of the encoding of an answer, in place of which the caller gets 502.
     """
 
     __slots__ = (
@@ -124,6 +139,7 @@
         "listener",
         "lock",
         "max_connections",
+        "report_failure",
         "report_mismatch",
         "stop_signal",
         "stop_trigger",
@@ -140,8 +156,10 @@
         name: str,
         limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
         report_mismatch: ReportMismatch = ignore_mismatch,
+        report_failure: FailureReport = log_failure,
     ) -> None:
         self.limits = limits
+        self.report_failure = report_failure
         self.report_mismatch = report_mismatch
         self.handler = handler
         self.error_handler = error_handler
@@ -231,8 +249,10 @@
             while self.serve_request(state, connection):
                 connection.start_next_cycle()
                 state.busy = False
-        except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
+        except (OSError, h11.RemoteProtocolError):
             pass
+        except Exception as error:
+            self.report_failure(state.peer, error)
         finally:
             state.sent.compare(state.sock, state.peer, self.report_mismatch)
             state.sock.close()
@@ -360,7 +380,11 @@
             h11.DONE,
             h11.SEND_BODY,
         )
-        data = encode_response(connection, response, body=body, keep_alive=keep_alive)
+        try:
+            data = encode_response(connection, response, body=body, keep_alive=keep_alive)
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            self.report_failure(state.peer, error)
+            data, keep_alive = UNSENDABLE_REPLY, False
         state.sent.send_all(state.sock, data)
         state.sent.compare(state.sock, state.peer, self.report_mismatch)
         return keep_alive and connection.our_state is h11.DONE
--- a/src/rhubarbway/edge/tests/test_http_server.py
+++ b/src/rhubarbway/edge/tests/test_http_server.py
@@ -94,6 +94,39 @@
             data = read_all(sock)
         assert data.count(b": " + value + b"\r\n") == data.count(b"answer") == 2
 
+    @pytest.mark.parametrize(
+        "make_response",
+        [
+            lambda: Response(b"x", status=204),
+            lambda: Response(headers={"X-Name": "\u0103"}),
+            lambda: Response(headers={"X-Name": "a\x00b"}),
+        ],
+    )
+    def test_an_answer_that_cannot_be_encoded_is_reported_and_becomes_502(
+        self, gated, make_response
+    ):
+        """Guards against a request that has run and ends without an answer or a line in the log."""
+        reported = []
+        gated.server.report_failure = lambda peer, error: reported.append((peer, type(error)))
+        gated.server.handler = lambda request: make_response()
+        with gated.connect() as other, gated.connect() as sock:
+            sock.sendall(GET)
+            assert read_all(sock).startswith(b"HTTP/1.1 502")
+            assert [peer for peer, _ in reported] == ["127.0.0.1"]
+            gated.server.handler = gated.respond
+            other.sendall(GET)
+            assert other.recv(100).startswith(b"HTTP/1.1 200")
+
+    def test_an_exception_of_the_handler_is_reported(self, gated):
+        """Guards against a task that an exception ends without a line in the log."""
+        reported = []
+        gated.server.report_failure = lambda peer, error: reported.append(type(error))
+        gated.server.handler = lambda request: 1 / 0
+        with gated.connect() as sock:
+            sock.sendall(GET)
+            assert read_all(sock) == b""
+        assert reported == [ZeroDivisionError]
+
 
 class TestStop:
     def test_a_running_request_is_answered_and_the_listener_closed(self, gated):
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -32,6 +32,7 @@
     request_header_lines,
 )
 from rhubarbway.platform.store import StoreClient
+from rhubarbway.services.connection_failures import failure_reporter
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.delegation import DelegationService, DelegationWire
 from rhubarbway.services.fleet import FleetService
@@ -136,6 +137,8 @@
     )
     fleet.feed_reply_listeners.append(metrics.count_feed_reply)
     fleet.report_mismatch = mismatch_reporter(expect, side="host")
+    count_failure = metrics.count_connection_failure
+    fleet.report_failure = failure_reporter(count_failure, side="host")
     kernel.register(FLEET, fleet)
     kernel.register(DELEGATION, DelegationService(cores=settings.cores, wire=DELEGATION_WIRE))
     fleet.host_count_listeners += [
@@ -158,6 +161,8 @@
             decode=request_from_http,
             encode=response_to_http,
             report_mismatch=mismatch_reporter(expect, side="caller"),
+            report_failure=failure_reporter(count_failure, side="caller"),
+            report_ready_failure=failure_reporter(count_failure, side="load_balancer"),
         ),
     )
     return kernel
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -25,7 +25,9 @@
     BODY_LIMIT_BYTES,
     IDLE_TIMEOUT_S,
     REQUEST_TIMEOUT_S,
+    FailureReport,
     HttpServer,
+    log_failure,
 )
 from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.kernel import Kernel
@@ -101,6 +103,7 @@
         "random",
         "read_store_at",
         "registry",
+        "report_failure",
         "report_mismatch",
         "seeds",
         "sent_to_followed_at",
@@ -148,6 +151,8 @@
         self.feed_reply_listeners: list[Callable[..., None]] = []
         # Called for a follower's connection that carries other bytes than its task has sent.
         self.report_mismatch: ReportMismatch = ignore_mismatch
+        # Called with each exception that ends a follower's connection or replaces a reply.
+        self.report_failure: FailureReport = log_failure
         self.feed_traffic = FeedTraffic(now=now)
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -177,6 +182,7 @@
             name="peers",
             limits=lambda: PEER_LIMITS,
             report_mismatch=self.report_mismatch,
+            report_failure=self.report_failure,
         )
         self.server.start()
         for slot in range(MAX_FOLLOWED_HOSTS):
--- a/src/rhubarbway/services/frontend.py
+++ b/src/rhubarbway/services/frontend.py
@@ -18,6 +18,7 @@
 from rhubarbway.model import ExecutionStatus, FailureKind, HostIdentity
 from rhubarbway.model import Failure as RequestFailure
 from rhubarbway.services.backends import BackendService
+from rhubarbway.services.connection_failures import failure_reporter
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.manifest import ManifestService
 from rhubarbway.services.metrics import MetricsService
@@ -108,6 +109,7 @@
             error_handler=self.respond_to_bad_request,
             max_connections=self.settings.max_connections,
             name="frontend",
+            report_failure=failure_reporter(self.metrics.count_connection_failure, side="caller"),
         )
         self.server.start()
         self.log.info("Listening.", address=self.settings.listen)
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -14,7 +14,14 @@
 from rhubarbway.decisions.forward_answers import refusal
 from rhubarbway.decisions.late_requests import answer_deadline, fits_before_cut
 from rhubarbway.edge.addresses import parse_address
-from rhubarbway.edge.http_server import DEFAULT_LIMITS, HEAD_KEY, SOCKET_KEY, HttpServer
+from rhubarbway.edge.http_server import (
+    DEFAULT_LIMITS,
+    HEAD_KEY,
+    SOCKET_KEY,
+    FailureReport,
+    HttpServer,
+    log_failure,
+)
 from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits, ForwardedAnswer, ForwardedRequest
@@ -52,6 +59,9 @@
         Decoder of requests and encoder of answers.
     report_mismatch : callable
         Called for a caller's connection that carries other bytes than its task has sent.
+    report_failure, report_ready_failure : callable
+        Called with each exception that ends a connection or replaces an answer, of a caller or of
+        the load balancer.
     """
 
     __slots__ = (
@@ -71,7 +81,9 @@
         "ready_listen",
         "ready_server",
         "registry",
+        "report_failure",
         "report_mismatch",
+        "report_ready_failure",
         "routing",
         "server",
     )
@@ -87,7 +99,11 @@
         decode: DecodeRequest,
         encode: EncodeAnswer,
         report_mismatch: ReportMismatch = ignore_mismatch,
+        report_failure: FailureReport = log_failure,
+        report_ready_failure: FailureReport = log_failure,
     ) -> None:
+        self.report_failure = report_failure
+        self.report_ready_failure = report_ready_failure
         self.report_mismatch = report_mismatch
         self.listen = listen
         self.ready_listen = ready_listen
@@ -124,6 +140,7 @@
             name="gateway",
             limits=self.limits,
             report_mismatch=self.report_mismatch,
+            report_failure=self.report_failure,
         )
         self.ready_server = HttpServer(
             address=parse_address(self.ready_listen),
@@ -131,6 +148,7 @@
             error_handler=self.respond_to_bad_request,
             max_connections=MAX_READY_CONNECTIONS,
             name="ready",
+            report_failure=self.report_ready_failure,
         )
         self.ready_server.start()
         self.server.start()
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -37,6 +37,7 @@
         "attempt_counter",
         "broken_invariants",
         "condition",
+        "connection_failures",
         "copy_confirmed",
         "delegated_requests",
         "dropped_observations",
@@ -122,6 +123,11 @@
             "Checks of what must always hold that failed, by name.",
             registry=self.registry,
         )
+        self.connection_failures = Counter(
+            "rhubarbway_connection_failures_total",
+            "Connections ended or answers replaced by an exception, by side and kind.",
+            registry=self.registry,
+        )
         self.delegated_requests = Counter(
             "rhubarbway_delegated_requests_total",
             "Fan-outs that this host passed to another entry host, by end of the exchange.",
@@ -250,6 +256,11 @@
         """Count a failed check of the invariant ``name``."""
         self.queue_observation(lambda: self.broken_invariants.inc({"invariant": name}))
 
+    def count_connection_failure(self, *, side: str, error: str) -> None:
+        """Count an exception that ended a connection or replaced an answer."""
+        labels = {"side": side, "error": error}
+        self.queue_observation(lambda: self.connection_failures.inc(labels))
+
     def count_delegation(self, *, end: str) -> None:
         """Count a request that was passed to another host, by the end of the exchange."""
         self.queue_observation(lambda: self.delegated_requests.inc({"end": end}))
--- a/src/rhubarbway/services/metrics_endpoint.py
+++ b/src/rhubarbway/services/metrics_endpoint.py
@@ -9,6 +9,7 @@
 from rhubarbway.edge.addresses import parse_address
 from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.kernel import Kernel
+from rhubarbway.services.connection_failures import failure_reporter
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.names import METRICS
@@ -47,6 +48,9 @@
             error_handler=lambda status, detail: Response(detail, status=status),
             max_connections=MAX_CONNECTIONS,
             name="metrics-endpoint",
+            report_failure=failure_reporter(
+                self.metrics.count_connection_failure, side="monitoring"
+            ),
         )
         self.server.start()
 
