Strip whitespace after the header values of responses

httptools keeps spaces and tabs after a value, and h11 refuses to send them, so an answer with a space at the end of a header line closed the caller's connection without an answer. The whitespace is no part of the value (RFC 9110, section 5.5). Bytes outside ASCII at either end are kept. Found while testing header values that are not ASCII; the test fails without the change.

--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -151,7 +151,10 @@
             return
         self.header_count += 1
         if self.header_count <= HEADER_LINE_LIMIT:
-            self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+            # Whitespace around a value is no part of it (RFC 9110, section 5.5), and ``h11``
+            # refuses to send it; ``httptools`` removes only what is before the value.
+            text = value.strip(b" \t").decode("latin-1")
+            self.headers.append((name.decode("latin-1"), text))
 
     def on_headers_complete(self) -> None:
         """Store the status; statuses below 200 are interim responses."""
--- a/src/rhubarbway/edge/tests/test_response_reader.py
+++ b/src/rhubarbway/edge/tests/test_response_reader.py
@@ -41,6 +41,11 @@
         assert (reply.status, reply.body) == (200, b"hello")
         assert ("X-Proof", "p") in reply.headers
 
+    def test_bytes_outside_ascii_are_kept_and_whitespace_around_them_is_not(self):
+        """Guards against header values that the caller gets changed, or that cannot be sent on."""
+        data = WITH_LENGTH.replace(b"X-Proof: p", b"X-Proof: \t \xa0p\xc4\x83 q\x85 \t ")
+        assert ("X-Proof", "\xa0p\xc4\x83 q\x85") in read(data, size=3).reply().headers
+
     def test_an_interim_response_is_dropped(self):
         """Guards against a 100 response, or its headers, in place of the final response."""
         reader = read(INTERIM + WITH_LENGTH, size=7)
