Do not take a silent connection to the store for an outage

A watch that timed out counted as an outage of the store, so the next answer deferred all deletions for 2.2 s, although the store had answered new connections all the time and no entry had lapsed.

decisions.store_contact now states what a call shows: one without a reply on a connection that had answered before leaves the store in doubt; only a call on a new connection without a reply, or a refused call, shows that it is away, and only then the next answer begins a deferral. The first call on a new connection asks for a reply at once and comes without a delay after a timeout. A host in doubt is not reported as unable to reach the store. Watches wait 1.8 s in place of 3 s, because 3 s and the margin of the timeout alone pass drainMs; these are more calls of the two readers that are not the first.

test_after_an_outage_each_deletion_is_deferred sets the new attribute in place of store_reachable.

--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -19,6 +19,12 @@
     RELAY_FRACTION,
     is_stale,
 )
+from rhubarbway.decisions.store_contact import (
+    NEXT_CONTACT,
+    CallEnd,
+    StoreContact,
+    ends_outage,
+)
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
@@ -35,12 +41,13 @@
 
 # Longest wait of a watch for a change, seconds. Longer waits save calls, each of which is charged
 # for. The first reader waits less, so that the store confirms the copies often enough to tell stale
-# ones apart. All documented time limits must hold again 4 s after an outage, so a watch that began
-# during it must have ended by then.
-WATCH_WAIT_S = 3.0
-# Longest wait of a watch while the store has not answered recently, seconds. Short, so that the
-# return of the store is detected within a second.
-OUTAGE_WATCH_WAIT_S = 0.3
+# ones apart. A connection may go silent just before a server is removed, which must be known 3 s
+# later: by then ``BATCH_DELAY_S`` and a watch with its margin must be over, and the next call must
+# have been answered.
+WATCH_WAIT_S = 1.8
+# Wait of a watch while the store has not answered recently, seconds. It asks for a reply at once,
+# so that a store that answers new connections is told from one that is away.
+PROBE_WAIT_S = 0.01
 # Time after an answer of the store during which watches wait for ``WATCH_WAIT_S``, seconds.
 RECENT_ANSWER_S = WATCH_WAIT_S + 2.0
 # Delay after a watch with changes, seconds. Changes come in groups, and each watch is charged for.
@@ -146,6 +153,7 @@
         "confirmation_listeners",
         "confirmed_at",
         "confirmation_relayed",
+        "contact",
         "copy_is_stale",
         "condition",
         "client",
@@ -168,7 +176,6 @@
         "store_answered_at",
         "store_failed_at",
         "store_copy",
-        "store_reachable",
     )
 
     def __init__(
@@ -196,7 +203,8 @@
         self.follower_waits_ended = False
         # When waiting followers were last answered without a change.
         self.followers_woken_at = float("-inf")
-        self.store_reachable = True
+        # What the calls of this host have shown of the store.
+        self.contact = StoreContact.IN_DOUBT
         # The copy and the deferred deletions contain all changes up to this revision of the store.
         self.read_revision = 0
         # Deferred deletions by key, and the instant at which the deferral of all of them ends. The
@@ -233,6 +241,8 @@
         retry_delay_s = INITIAL_RETRY_DELAY_S
         history_gone = False
         while not self.stopping.is_set():
+            began_at = time.monotonic()
+            was_answering = self.contact is StoreContact.ANSWERING
             self.report_copy_age()
             if not self.fleet.is_reader(has_copy=self.complete, copy_age_s=self.copy_age_s()):
                 self.forget_blindness()
@@ -247,7 +257,9 @@
                 else:
                     self.watch_store()
                 self.record_store_answer()
-                retry_delay_s = INITIAL_RETRY_DELAY_S
+                # Connections that are lost after one answer each keep the longer delay.
+                if was_answering:
+                    retry_delay_s = INITIAL_RETRY_DELAY_S
             except StoreError as error:
                 history_gone = history_gone or error.problem is StoreProblem.HISTORY_GONE
                 if error.problem is StoreProblem.HISTORY_GONE:
@@ -257,7 +269,11 @@
                     )
                     continue
                 self.record_store_failure(error)
-                self.stopping.wait(retry_delay_s * (0.5 + self.random.random()))
+                delay_s = retry_delay_s * (0.5 + self.random.random())
+                if self.contact is StoreContact.IN_DOUBT:
+                    # Counted from the call that was lost: after a timeout the next one is due.
+                    delay_s -= time.monotonic() - began_at
+                self.stopping.wait(max(0.0, delay_s))
                 retry_delay_s = min(2 * retry_delay_s, MAX_RETRY_DELAY_S)
             except Exception:
                 self.log.exception("Reading the store failed.")
@@ -286,10 +302,10 @@
     def watch_store(self) -> None:
         """Wait for changes of the store and apply them."""
         answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
-        wait_s = WATCH_WAIT_S if answered_recently else OUTAGE_WATCH_WAIT_S
+        wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
         if self.fleet.is_first_reader():
             wait_s = min(wait_s, CONFIRMATION_FRACTION * self.apply_limit_s)
-        if self.deferred_deletions:
+        if self.deferred_deletions and answered_recently:
             # Ends the watch when the deferral ends, since the deletions are applied after a watch.
             wait_s = max(0.1, min(wait_s, self.defer_deletions_until - time.monotonic()))
         page = self.client.watch("", after_revision=self.watch_start(), wait_s=wait_s)
@@ -608,19 +624,24 @@
     def record_store_answer(self) -> None:
         """Record an answer of the store; after an outage, defer deletions for ``LAPSE_GRACE_S``."""
         self.store_answered_at = time.monotonic()
-        if self.store_reachable:
+        before, self.contact = self.contact, NEXT_CONTACT[self.contact, CallEnd.ANSWERED]
+        if before is self.contact:
             return
-        self.store_reachable = True
-        self.defer_deletions_until = time.monotonic() + LAPSE_GRACE_S
         self.fleet.set_blind(False)
-        self.log.info("Store available again.")
+        if ends_outage(before, CallEnd.ANSWERED):
+            self.defer_deletions_until = time.monotonic() + LAPSE_GRACE_S
+            self.log.info("Store available again.")
 
     def record_store_failure(self, error: StoreError) -> None:
         """Record that a call of the store failed."""
         self.store_answered_at = float("-inf")
         self.store_failed_at = time.monotonic()
-        if not self.store_reachable:
+        end = CallEnd.REFUSED if error.problem is StoreProblem.REFUSED else CallEnd.LOST
+        before, self.contact = self.contact, NEXT_CONTACT[self.contact, end]
+        if before is self.contact:
+            return
+        if self.contact is StoreContact.IN_DOUBT:
+            self.log.info("Connection to the store lost.", problem=str(error))
             return
-        self.store_reachable = False
         self.fleet.set_blind(True)
         self.log.warning("Store unavailable.", problem=str(error))
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rhubarbway.decisions.copy_freshness import STALE_FRACTION
+from rhubarbway.decisions.store_contact import StoreContact
 from rhubarbway.model import StoreItem
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
 from rhubarbway.services.registry import WATCH_WAIT_S, RegistryService
@@ -152,7 +153,7 @@
     def test_after_an_outage_each_deletion_is_deferred(self):
         """Guards against the removal of a few servers whose entries lapsed during an outage."""
         filled = FilledRegistry()
-        filled.registry.store_reachable = False
+        filled.registry.contact = StoreContact.AWAY
         filled.registry.record_store_answer()
         filled.apply_changes([deletion(5)], revision=200)
         assert filled.recorder.removed == []
