--- a/src/rhubarbway/edge/tests/test_http_server.py
+++ b/src/rhubarbway/edge/tests/test_http_server.py
@@ -85,6 +85,52 @@
             assert read_all(sock).startswith(b"HTTP/1.1 413")
 
 
+class TestAnswers:
+    def test_a_header_value_with_any_byte_above_ascii_arrives_unchanged(self, gated):
+        """Guards against an answer whose header is not ASCII and that closes the connection."""
+        value = bytes(range(0x80, 0x100)) + "trăsură.pdf".encode()
+        headers = {"X-Name": value.decode("latin-1")}
+        gated.server.handler = lambda request: Response(b"answer", headers=headers)
+        with gated.connect() as sock:
+            for request in (GET, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")):
+                sock.sendall(request)
+            data = read_all(sock)
+        assert data.count(b": " + value + b"\r\n") == data.count(b"answer") == 2
+
+    @pytest.mark.parametrize(
+        "make_response",
+        [
+            lambda: Response(b"x", status=204),
+            lambda: Response(headers={"X-Name": "\u0103"}),
+            lambda: Response(headers={"X-Name": "a\x00b"}),
+        ],
+    )
+    def test_an_answer_that_cannot_be_encoded_is_reported_and_becomes_502(
+        self, gated, make_response
+    ):
+        """Guards against a request that has run and ends without an answer or a line in the log."""
+        reported = []
+        gated.server.report_failure = lambda peer, error: reported.append((peer, type(error)))
+        gated.server.handler = lambda request: make_response()
+        with gated.connect() as other, gated.connect() as sock:
+            sock.sendall(GET)
+            assert read_all(sock).startswith(b"HTTP/1.1 502")
+            assert [peer for peer, _ in reported] == ["127.0.0.1"]
+            gated.server.handler = gated.respond
+            other.sendall(GET)
+            assert other.recv(100).startswith(b"HTTP/1.1 200")
+
+    def test_an_exception_of_the_handler_is_reported(self, gated):
+        """Guards against a task that an exception ends without a line in the log."""
+        reported = []
+        gated.server.report_failure = lambda peer, error: reported.append(type(error))
+        gated.server.handler = lambda request: 1 / 0
+        with gated.connect() as sock:
+            sock.sendall(GET)
+            assert read_all(sock) == b""
+        assert reported == [ZeroDivisionError]
+
+
 class TestStop:
     def test_a_running_request_is_answered_and_the_listener_closed(self, gated):
         """Guards against a stop that cuts requests in flight or goes on accepting."""
