Receive the outcomes that have arrived before a due hedge is sent

A query whose task ran only after the hedge delay sent the hedge first, even if the outcome of the attempt was already in its inbox. A failed attempt was then repeated as a hedge, without the permit of the retry budget that a retry needs, and an answered one was sent once more. This happens on a busy host, where the extra attempts cost most. TestRetries:: test_no_permit_means_no_retry failed by it once beside a load of 80 to 90: its fake pool replies at once, but the task was off the processor for the hedge delay of 20 ms.

The query now empties its inbox first, and sends due hedges only if nothing had arrived. With a pause of 15 ms after the outcome the query failed as it should before the change too; with 25 ms it sent one hedge and succeeded. The new test pauses for twice the hedge delay: it fails without the change and passes with it, as do the 196 tests of the services and three runs of test_fan_out.py beside a load of 65.

--- a/src/rhubarbway/services/fan_out.py
+++ b/src/rhubarbway/services/fan_out.py
@@ -213,15 +213,17 @@
             if now >= end:
                 break
             next_hedge_at = min(self.hedge_due_at.values(), default=end)
-            if now >= next_hedge_at:
-                self.send_due_hedges(now)
-                continue
             # Before the first hedge and before ``partial_answer_at``, the answer of a single shard
             # changes no decision, so the task sleeps until all attempts in flight have answered.
             # Any other outcome wakes it.
             min_count = 1 if self.hedges or now >= self.partial_answer_at else len(self.in_flight)
-            timeout = min(end, next_hedge_at) - now
-            for delivery in self.inbox.receive(min_count=max(1, min_count), timeout=timeout):
+            timeout = max(0.0, min(end, next_hedge_at) - now)
+            deliveries = self.inbox.receive(min_count=max(1, min_count), timeout=timeout)
+            # On a busy host this task may run only after the hedge delay. Outcomes that have
+            # arrived by then come first: a shard that has one needs no hedge.
+            if not deliveries and now >= next_hedge_at:
+                self.send_due_hedges(now)
+            for delivery in deliveries:
                 if isinstance(delivery.message, CapacityFreed):
                     self.send_queued(delivery.message.shard)
                 else:
--- a/src/rhubarbway/services/tests/test_fan_out.py
+++ b/src/rhubarbway/services/tests/test_fan_out.py
@@ -28,6 +28,7 @@
 from rhubarbway.services.fan_out import FanOut
 
 DEADLINE_S = 5.0
+HEDGE_DELAY_S = 0.02
 
 
 class FakePool:
@@ -138,7 +139,7 @@
         next_attempt_id=lambda: AttemptId(host="e", incarnation="0", counter=next(counter)),
         random=Random(1),
         extra_attempt_limits=ExtraAttemptLimits(
-            hedge_delay_s=0.02,
+            hedge_delay_s=HEDGE_DELAY_S,
             partial_answer_after_s=partial_answer_after_s,
             take_hedge_permit=lambda: may_hedge,
             take_retry_permit=lambda: may_retry,
@@ -180,6 +181,23 @@
         assert make_fan_out(pools, may_hedge=False).run().unwrap().coverage.fraction == 1.0
         assert first.attempts[0].cancelled
 
+    def test_an_outcome_that_has_arrived_comes_before_a_due_hedge(self):
+        """Guards against a hedge for a failed attempt, which needs a permit of the retry budget.
+
+        A busy host may run the task only after the hedge delay, with the outcome in the inbox.
+        """
+        pools, first, second = two_replicas(None)
+
+        def submit_slowly(attempt):
+            first.state.record_sent(time.monotonic())
+            first.finish(attempt, OutcomeKind.CONNECTION_LOST)
+            time.sleep(2 * HEDGE_DELAY_S)
+
+        first.submit = submit_slowly
+        fan_out = make_fan_out(pools, may_retry=False)
+        assert fan_out.run().failure().ran is ExecutionStatus.UNKNOWN
+        assert (second.attempts, fan_out.hedges) == ([], 0)
+
     def test_unsafe_request_is_never_hedged(self):
         """Guards against an unsafe request that a hedge runs on a second replica of a shard."""
         pools, first, second = two_replicas(None)
