Limit the processor time of Hypothesis examples instead of their wall time

TestSchemaProblems::test_fast_and_full_validators_agree failed beside a load of 80 to 90 with "Unreliable test timings": 258 ms, then 133 ms, against the default deadline of 200 ms of wall time. Its examples take at most 11.6 ms of processor time. With time.perf_counter accelerated by 20 it fails the same way (264 ms, then 199 ms).

A wall-time limit measures the host as well as the test, so it is replaced by one of processor time with the same 200 ms, for every test with @given, including those that had switched the deadline off. Without a deadline the too_slow health check of Hypothesis allows 30 s instead of 1 s of wall time. That check stays on, and 1 s of processor time for the generation of the first ten examples is checked as well. The time of the garbage collector does not count, as in Hypothesis. State machines are left as they are: all of them run without a deadline, by their settings or by default.

The plugin is loaded by the conftest.py at the root, so that runs of src and of proofs get it; a test checks both.

--- a/conftest.py
+++ b/conftest.py
@@ -2,6 +2,8 @@
 
 import structlog
 
+pytest_plugins = ["proofs.example_limits"]
+
 
 def pytest_configure() -> None:
     """Format tracebacks in log lines as plain text, as the daemons do.
