Let a crashed stand-in replica close its descriptors in its own tasks

Cause: a crash closed the listener while the accept task could be between reading its number and the system call, so a replica could take a connection of another listener of the process. It also marked the server as stopping, which made the stop before the restart return at once: the accept task, the other tasks and the pair of the stop signal stayed.

Change: HttpServer.cut_off shuts listener and connections down under the lock of the server and closes nothing. The stop before the restart then ends the tasks, which close their descriptors.

The restart now waits for the tasks of the crashed server.

--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -181,7 +181,8 @@
                     if stopping:
                         break
                     time.sleep(ACCEPT_RETRY_DELAY_S)
-        self.listener.close()
+        with self.lock:
+            self.listener.close()
 
     def start_connection(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Start the task of a new connection, or refuse it if ``max_connections`` are open."""
@@ -376,6 +377,17 @@
         """Close each connection after its next reply; new connections are still accepted."""
         self.keep_alive_disabled = True
 
+    def cut_off(self) -> None:
+        """Refuse connections and shut the open ones down, as if the process had ended.
+
+        Returns at once, so that a handler may call it. ``stop`` still has to be called: it ends the
+        tasks, which close their descriptors themselves.
+        """
+        with self.lock:
+            shutdown_socket(self.listener)
+            for state in self.connections:
+                shutdown_socket(state.sock)
+
     def stop(self, *, grace_s: float) -> int:
         """Stop accepting, wait for requests in flight, and close all connections.
 
@@ -406,7 +418,8 @@
             for state in self.connections:
                 shutdown_socket(state.sock)
         self.executor.shutdown(wait=True)
-        self.listener.close()
+        with self.lock:
+            self.listener.close()
         self.stop_trigger.close()
         self.stop_signal.close()
         return cut
--- a/src/rhubarbway/edge/tests/held_calls.py
+++ b/src/rhubarbway/edge/tests/held_calls.py
@@ -21,6 +21,7 @@
     def __init__(self):
         self.begun = threading.Event()
         self.released = threading.Event()
+        self.ended = threading.Event()
 
     def run(self, sock, call):
         number = sock.fileno()
@@ -33,6 +34,7 @@
             return call(by_number)
         finally:
             by_number.detach()
+            self.ended.set()
 
 
 class HeldListener(socket.socket):
--- a/src/rhubarbway_standins/backend.py
+++ b/src/rhubarbway_standins/backend.py
@@ -19,7 +19,7 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
-from rhubarbway.edge.http_server import SOCKET_KEY, HttpServer, shutdown_socket
+from rhubarbway.edge.http_server import SOCKET_KEY, HttpServer
 from rhubarbway.edge.json_codec import decode_json, encode_json, hex_digest
 from rhubarbway.edge.wire import SubQueryBody, SubQueryReply
 
@@ -424,12 +424,7 @@
             os._exit(70)
         # From here on nothing is accepted or answered, as after the end of a process.
         self.crashed = True
-        self.server.stopping = True
-        shutdown_socket(self.server.listener)
-        self.server.listener.close()
-        with self.server.lock:
-            for state in self.server.connections:
-                shutdown_socket(state.sock)
+        self.server.cut_off()
         threading.Thread(target=self.restart, daemon=True).start()
 
     def restart(self) -> None:
