--- a/src/rhubarbway/edge/tests/held_calls.py
+++ b/src/rhubarbway/edge/tests/held_calls.py
@@ -37,6 +37,20 @@
             self.ended.set()
 
 
+class HeldSocket:
+    """Stand-in for a connected socket whose ``shutdown`` is held."""
+
+    def __init__(self, sock, held):
+        self.sock = sock
+        self.held = held
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def shutdown(self, how):
+        self.held.run(self.sock, lambda by_number: by_number.shutdown(how))
+
+
 class HeldListener(socket.socket):
     """A listening socket whose first ``accept`` is held."""
 
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -12,6 +12,7 @@
 from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.edge.tests.held_calls import (
     HeldCall,
+    HeldSocket,
     hold_first_accept,
     listeners_with_callers,
     reused_numbers,
@@ -179,23 +180,6 @@
                 control.set_faults("echo", RESPONSE, unknown=True)
 
 
-class HeldSocket:
-    """Stand-in for a socket of a proxied connection whose ``shutdown`` is held."""
-
-    def __init__(self, sock, held):
-        self.sock = sock
-        self.held = held
-
-    def shutdown(self, how):
-        self.held.run(self.sock, lambda by_number: by_number.shutdown(how))
-
-    def setsockopt(self, *option):
-        self.sock.setsockopt(*option)
-
-    def close(self):
-        self.sock.close()
-
-
 class TestDescriptors:
     def test_a_reset_reaches_no_socket_but_its_own(self, echo, proxy, connections):
         """Guards against a cut that ends another connection, which a soak takes for a fault."""
