--- a/src/rhubarbway/edge/tests/held_calls.py
+++ b/src/rhubarbway/edge/tests/held_calls.py
@@ -21,6 +21,7 @@
     def __init__(self):
         self.begun = threading.Event()
         self.released = threading.Event()
+        self.ended = threading.Event()
 
     def run(self, sock, call):
         number = sock.fileno()
@@ -33,6 +34,21 @@
             return call(by_number)
         finally:
             by_number.detach()
+            self.ended.set()
+
+
+class HeldSocket:
+    """Stand-in for a connected socket whose ``shutdown`` is held."""
+
+    def __init__(self, sock, held):
+        self.sock = sock
+        self.held = held
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def shutdown(self, how):
+        self.held.run(self.sock, lambda by_number: by_number.shutdown(how))
 
 
 class HeldListener(socket.socket):
