--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -59,6 +59,7 @@
         "query_latency",
         "registry",
         "stopping",
+        "unexpected_data",
     )
 
     def __init__(self) -> None:
@@ -128,6 +129,11 @@
             "Connections ended or answers replaced by an exception, by side and kind.",
             registry=self.registry,
         )
+        self.unexpected_data = Counter(
+            "rhubarbway_unexpected_data_total",
+            "Connections given up because of data that answers no request, by their kind (side).",
+            registry=self.registry,
+        )
         self.delegated_requests = Counter(
             "rhubarbway_delegated_requests_total",
             "Fan-outs that this host passed to another entry host, by end of the exchange.",
@@ -261,6 +267,10 @@
         labels = {"side": side, "error": error}
         self.queue_observation(lambda: self.connection_failures.inc(labels))
 
+    def count_unexpected_data(self, *, side: str) -> None:
+        """Count a connection that held data which answers no request."""
+        self.queue_observation(lambda: self.unexpected_data.inc({"side": side}))
+
     def count_delegation(self, *, end: str) -> None:
         """Count a request that was passed to another host, by the end of the exchange."""
         self.queue_observation(lambda: self.delegated_requests.inc({"end": end}))
