Block a crashing request again after its first block

Cause: a loss was kept by service and id, for good, and counted for 60 s only. When the block had ended, a further loss of a server with a known id was not counted, so the request ran for good if its servers kept their ids.

Change: losses are kept by process (id and start). Messages between hosts carry the start of the process; hosts of the earlier version ignore it, and a loss without it counts once per id.

--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -74,12 +74,17 @@
 
 
 class WireLoss(msgspec.Struct):
-    """A server that was lost ``age_ms`` ago; ``digest`` identifies the request then in flight."""
+    """A server that was lost ``age_ms`` ago; ``digest`` identifies the request then in flight.
+
+    ``started_ms`` is the start of its process; hosts of an earlier version neither send nor read
+    it.
+    """
 
     digest: Name
     service: Name
     server: Name
     age_ms: Age
+    started_ms: Counter = 0
 
 
 class WireReport(msgspec.Struct, array_like=True):
@@ -291,13 +296,25 @@
 def loss_to_wire(loss: ServerLoss, *, now: float) -> WireLoss:
     """Return the wire form of a loss."""
     age_ms = max(0, round((now - loss.lost_at) * 1000))
-    return WireLoss(digest=loss.digest, service=loss.service, server=loss.server, age_ms=age_ms)
+    return WireLoss(
+        digest=loss.digest,
+        service=loss.service,
+        server=loss.server,
+        age_ms=age_ms,
+        started_ms=loss.started_ms,
+    )
 
 
 def loss_from_wire(wire: WireLoss, *, now: float) -> ServerLoss:
     """Return the loss that a message describes."""
     at = now - max(0, wire.age_ms) / 1000
-    return ServerLoss(digest=wire.digest, service=wire.service, server=wire.server, lost_at=at)
+    return ServerLoss(
+        digest=wire.digest,
+        service=wire.service,
+        server=wire.server,
+        lost_at=at,
+        started_ms=wire.started_ms,
+    )
 
 
 def report_to_wire(report: SlownessReport, *, now: float) -> WireReport:
--- a/src/rhubarbway/edge/tests/test_feed_wire.py
+++ b/src/rhubarbway/edge/tests/test_feed_wire.py
@@ -3,8 +3,10 @@
 import json
 import zlib
 
+import msgspec
 import pytest
 
+from rhubarbway.decisions.crash_guard import ServerLoss
 from rhubarbway.edge import feed_wire
 from rhubarbway.model import StoreItem
 
@@ -101,3 +103,24 @@
         # Each member has an address, a zone, an incarnation and three short values.
         assert len(data) < 100 * 80
         assert feed_wire.reply_from_json(data).members == members[1:]
+
+
+class FormerLoss(msgspec.Struct):
+    """A lost server, as hosts of an earlier version know it."""
+
+    digest: str
+    service: str
+    server: str
+    age_ms: int
+
+
+class TestLosses:
+    LOSS = ServerLoss(digest="d", service="s", server="i", lost_at=8.0, started_ms=5)
+
+    def test_a_host_of_an_earlier_version_reads_the_loss_and_is_read(self):
+        """Guards against a fleet that loses its exchange while its hosts are updated."""
+        wire = feed_wire.loss_to_wire(self.LOSS, now=9.0)
+        former = msgspec.json.decode(msgspec.json.encode(wire), type=FormerLoss)
+        assert (former.server, former.age_ms) == ("i", 1000)
+        known = msgspec.json.decode(msgspec.json.encode(former), type=feed_wire.WireLoss)
+        assert feed_wire.loss_from_wire(known, now=9.0).started_ms == 0
--- a/src/rhubarbway/model/forwarding.py
+++ b/src/rhubarbway/model/forwarding.py
@@ -188,9 +188,21 @@
         The reply, if a complete one arrived.
     detail : str
         Description of an error.
+    server_started_ms : int
+        ``BackendServer.started_ms`` of the replica.
     """
 
-    __slots__ = ("attempt", "detail", "end", "latency_s", "ran", "reply", "server", "shard")
+    __slots__ = (
+        "attempt",
+        "detail",
+        "end",
+        "latency_s",
+        "ran",
+        "reply",
+        "server",
+        "server_started_ms",
+        "shard",
+    )
 
     def __init__(
         self,
@@ -203,10 +215,12 @@
         latency_s: float,
         reply: ReplicaReply | None = None,
         detail: str = "",
+        server_started_ms: int = 0,
     ) -> None:
         self.attempt = attempt
         self.shard = shard
         self.server = server
+        self.server_started_ms = server_started_ms
         self.end = end
         self.ran = ran
         self.latency_s = latency_s
--- a/src/rhubarbway/services/crashing_requests.py
+++ b/src/rhubarbway/services/crashing_requests.py
@@ -5,8 +5,9 @@
 import threading
 import time
 from collections.abc import Iterable
+from random import Random
 
-from rhubarbway.decisions.crash_guard import CrashGuard, ServerLoss
+from rhubarbway.decisions.crash_guard import MAX_TRIAL_DELAY_S, CrashGuard, ServerLoss
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.log import component_logger
 
@@ -20,7 +21,7 @@
     __slots__ = ("guard", "lock", "log")
 
     def __init__(self) -> None:
-        self.guard = CrashGuard()
+        self.guard = CrashGuard(trial_delay_s=Random().uniform(0.0, MAX_TRIAL_DELAY_S))
         self.lock = threading.Lock()
         self.log = component_logger("losses")
 
@@ -30,20 +31,23 @@
     def stop(self) -> None:
         """Do nothing: the service holds no resources."""
 
-    def record_loss(self, digest: str, *, service: str, server: str) -> None:
+    def record_loss(self, digest: str, *, service: str, server: str, started_ms: int = 0) -> None:
         """Record that a server was lost while it processed a request.
 
         Parameters
         ----------
         digest : str
             Digest of the request's content.
+        started_ms : int
+            Start of the server's process as the registry states it, 0 if unknown.
         """
         now = time.monotonic()
         with self.lock:
             was_blocked = self.guard.is_blocked(digest, now=now)
-            self.guard.record(
-                ServerLoss(digest=digest, service=service, server=server, lost_at=now)
+            loss = ServerLoss(
+                digest=digest, service=service, server=server, started_ms=started_ms, lost_at=now
             )
+            self.guard.record(loss, now=now)
             is_blocked = self.guard.is_blocked(digest, now=now)
         if is_blocked and not was_blocked:
             self.log.warning("Crashing request blocked.", digest=digest, service=service)
@@ -66,4 +70,4 @@
     def merge(self, losses: Iterable[ServerLoss]) -> None:
         """Merge the server losses that another host has published."""
         with self.lock:
-            self.guard.merge(losses)
+            self.guard.merge(losses, now=time.monotonic())
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -416,7 +416,10 @@
             shard.sent_count -= 1
         if outcome.end is ExchangeEnd.LOST:
             self.context.crashing_requests.record_loss(
-                self.digest, service=shard.service, server=outcome.server
+                self.digest,
+                service=shard.service,
+                server=outcome.server,
+                started_ms=outcome.server_started_ms,
             )
         if not shard.is_pending:
             return
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -413,6 +413,7 @@
             attempt=attempt.number,
             shard=attempt.shard,
             server=self.server.id,
+            server_started_ms=self.server.started_ms,
             end=end,
             ran=ran,
             latency_s=time.monotonic() - attempt.latency_start,
