Count single losses of crashing requests over all hosts

Cause: hosts shared losses from the second one of the same request on. A request without retries is lost once at each host, so it crashed a server at every host in turn.

Change: hosts share single losses, too, as a list of their own in the feed, which hosts of the earlier version ignore.

The test of test_fleet.py fails on the code before.

--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -87,6 +87,16 @@
     started_ms: Counter = 0
 
 
+class WireSingleLoss(msgspec.Struct, array_like=True):
+    """A server that was lost with a request of which the sender knows no other loss."""
+
+    digest: Name
+    service: Name
+    server: Name
+    started_ms: Counter
+    age_ms: Age
+
+
 class WireReport(msgspec.Struct, array_like=True):
     """A slow server; ``slowness`` is the ratio of its latency to the typical latency.
 
@@ -135,6 +145,7 @@
     members_only: bool = False
     members_digest: Name = ""
     settled: Counter = 0
+    singles: list[WireSingleLoss] = []
 
 
 class FeedReply(msgspec.Struct):
@@ -161,6 +172,7 @@
     confirmed_age_ms: Age | None = None
     settled: Counter = 0
     deletions_known_after: Counter = 0
+    singles: list[WireSingleLoss] = []
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -317,6 +329,29 @@
     )
 
 
+def single_loss_to_wire(loss: ServerLoss, *, now: float) -> WireSingleLoss:
+    """Return the wire form of a single loss."""
+    return WireSingleLoss(
+        digest=loss.digest,
+        service=loss.service,
+        server=loss.server,
+        started_ms=loss.started_ms,
+        age_ms=max(0, round((now - loss.lost_at) * 1000)),
+    )
+
+
+def single_loss_from_wire(wire: WireSingleLoss, *, now: float) -> ServerLoss:
+    """Return the single loss that a message describes."""
+    return ServerLoss(
+        digest=wire.digest,
+        service=wire.service,
+        server=wire.server,
+        started_ms=wire.started_ms,
+        lost_at=now - wire.age_ms / 1000,
+        is_single=True,
+    )
+
+
 def report_to_wire(report: SlownessReport, *, now: float) -> WireReport:
     """Return the wire form of a report."""
     age_ms = max(0, round((now - report.observed_at) * 1000))
--- a/src/rhubarbway/services/crashing_requests.py
+++ b/src/rhubarbway/services/crashing_requests.py
@@ -67,6 +67,13 @@
         with self.lock:
             return self.guard.losses_to_share(now=time.monotonic())
 
+    def singles_to_share(self) -> list[ServerLoss]:
+        """Return the single server losses to publish to other hosts."""
+        if not self.guard.losses_by_digest:
+            return []
+        with self.lock:
+            return self.guard.singles_to_share(now=time.monotonic())
+
     def merge(self, losses: Iterable[ServerLoss]) -> None:
         """Merge the server losses that another host has published."""
         with self.lock:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -331,6 +331,7 @@
             members_only=members_only,
             members_digest=self.members_digest() if members_only else "",
             settled=self.registry.settled_revision(),
+            singles=self.own_singles(),
         )
         reply = connection.exchange(
             "POST",
@@ -396,9 +397,7 @@
             for wire in (*reply.members, reply.sender):
                 self.view.merge(feed_wire.member_from_wire(wire, now=now))
         self.notify_host_count()
-        self.crashing_requests.merge(
-            feed_wire.loss_from_wire(wire, now=now) for wire in reply.losses
-        )
+        self.apply_losses(reply.losses, reply.singles)
         self.apply_reports(reply.reports)
         self.apply_leaving_marks(reply.leaving)
         items = [feed_wire.item_from_wire(wire) for wire in reply.items]
@@ -490,6 +489,23 @@
             for loss in self.crashing_requests.losses_to_share()
         ]
 
+    def own_singles(self) -> list[feed_wire.WireSingleLoss]:
+        """Return the single losses that may belong to crashing requests."""
+        now = time.monotonic()
+        return [
+            feed_wire.single_loss_to_wire(loss, now=now)
+            for loss in self.crashing_requests.singles_to_share()
+        ]
+
+    def apply_losses(
+        self, wires: Iterable[feed_wire.WireLoss], singles: Iterable[feed_wire.WireSingleLoss]
+    ) -> None:
+        """Merge what another host knows about crashing requests."""
+        now = time.monotonic()
+        losses = [feed_wire.loss_from_wire(wire, now=now) for wire in wires]
+        losses += [feed_wire.single_loss_from_wire(wire, now=now) for wire in singles]
+        self.crashing_requests.merge(losses)
+
     def own_reports(self) -> list[feed_wire.WireReport]:
         """Return what this host knows about slow servers."""
         now = time.monotonic()
@@ -548,9 +564,7 @@
             # A host that queries this one as a seed counts as a follower, too.
             for wire in (*feed_request.members, feed_request.sender):
                 self.view.merge(feed_wire.member_from_wire(wire, now=now), from_follower=True)
-        self.crashing_requests.merge(
-            feed_wire.loss_from_wire(wire, now=now) for wire in feed_request.losses
-        )
+        self.apply_losses(feed_request.losses, feed_request.singles)
         self.apply_reports(feed_request.reports)
         self.apply_leaving_marks(feed_request.leaving)
         self.notify_host_count()
@@ -601,6 +615,7 @@
             confirmed_age_ms=feed_wire.age_ms(changes.confirmed_at, now=time.monotonic()),
             settled=changes.settled_revision,
             deletions_known_after=changes.deletions_known_after,
+            singles=self.own_singles(),
         )
         body = feed_wire.message_to_json(reply)
         headers = {}
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 from werkzeug.test import EnvironBuilder
 
+from rhubarbway.decisions import crash_guard
 from rhubarbway.decisions.fleet_view import FleetView
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.http_client import Reply as HttpReply
@@ -431,3 +432,17 @@
         starting.registry = RegistryService(make_client=lambda: None)
         reply, _ = poll(starting, followed)
         assert reply.whole and len(reply.items) == 200
+
+
+class TestLosses:
+    def test_one_loss_at_each_of_three_hosts_blocks_a_request(self, monkeypatch):
+        """Guards against a crashing request without retries that runs at each host in turn."""
+        monkeypatch.setattr(crash_guard, "MIN_SINGLE_AGE_S", 0.0, raising=False)
+        hosts = [fleet_with_copy(number, [], revision=1) for number in (1, 2, 3)]
+        for number, host in enumerate(hosts):
+            host.crashing_requests.record_loss("d", service="board", server=f"i-{number}")
+        for _ in range(2):
+            for host in hosts[1:]:
+                reply, _ = poll(host, hosts[0])
+                host.apply_reply(reply)
+        assert [host.crashing_requests.is_blocked("d") for host in hosts] == [True] * 3
