--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -74,11 +74,26 @@
 
 
 class WireLoss(msgspec.Struct):
-    """A server that was lost ``age_ms`` ago; ``digest`` identifies the request then in flight."""
+    """A server that was lost ``age_ms`` ago; ``digest`` identifies the request then in flight.
+
+    ``started_ms`` is the start of its process; hosts of an earlier version neither send nor read
+    it.
+    """
+
+    digest: Name
+    service: Name
+    server: Name
+    age_ms: Age
+    started_ms: Counter = 0
+
+
+class WireSingleLoss(msgspec.Struct, array_like=True):
+    """A server that was lost with a request of which the sender knows no other loss."""
 
     digest: Name
     service: Name
     server: Name
+    started_ms: Counter
     age_ms: Age
 
 
@@ -132,6 +147,7 @@
     members_digest: Name = ""
     settled: Counter = 0
     number: Counter = 0
+    singles: list[WireSingleLoss] = []
 
 
 class FeedReply(msgspec.Struct):
@@ -160,6 +176,7 @@
     settled: Counter = 0
     deletions_known_after: Counter = 0
     answers: Counter | None = None
+    singles: list[WireSingleLoss] = []
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -295,13 +312,48 @@
 def loss_to_wire(loss: ServerLoss, *, now: float) -> WireLoss:
     """Return the wire form of a loss."""
     age_ms = max(0, round((now - loss.lost_at) * 1000))
-    return WireLoss(digest=loss.digest, service=loss.service, server=loss.server, age_ms=age_ms)
+    return WireLoss(
+        digest=loss.digest,
+        service=loss.service,
+        server=loss.server,
+        age_ms=age_ms,
+        started_ms=loss.started_ms,
+    )
 
 
 def loss_from_wire(wire: WireLoss, *, now: float) -> ServerLoss:
     """Return the loss that a message describes."""
     at = now - max(0, wire.age_ms) / 1000
-    return ServerLoss(digest=wire.digest, service=wire.service, server=wire.server, lost_at=at)
+    return ServerLoss(
+        digest=wire.digest,
+        service=wire.service,
+        server=wire.server,
+        lost_at=at,
+        started_ms=wire.started_ms,
+    )
+
+
+def single_loss_to_wire(loss: ServerLoss, *, now: float) -> WireSingleLoss:
+    """Return the wire form of a single loss."""
+    return WireSingleLoss(
+        digest=loss.digest,
+        service=loss.service,
+        server=loss.server,
+        started_ms=loss.started_ms,
+        age_ms=max(0, round((now - loss.lost_at) * 1000)),
+    )
+
+
+def single_loss_from_wire(wire: WireSingleLoss, *, now: float) -> ServerLoss:
+    """Return the single loss that a message describes."""
+    return ServerLoss(
+        digest=wire.digest,
+        service=wire.service,
+        server=wire.server,
+        started_ms=wire.started_ms,
+        lost_at=now - wire.age_ms / 1000,
+        is_single=True,
+    )
 
 
 def report_to_wire(report: SlownessReport, *, now: float) -> WireReport:
