Check in the soak that connections carry only answers and requests

A caller once got the bytes of an event in place of a status line, and the soak could not have named it: http.client turns such bytes into BadStatusLine, which the check of kept connections excuses after a kill, it drops bytes behind an answer, and the stand-ins of servers refuse a malformed request without a record.

The proxy records each message of a host that does not begin with a method, for servers and the store. The check "only answers" reports both. No fault excuses them: the proxy cuts data only at its end and is on no path of a caller.

--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -27,6 +27,10 @@
 # Threads are created on demand; the number only bounds them.
 MAX_TASKS = 4096
 CONTROL_CONNECTIONS = 32
+# Start of each request, as far as it has been received: a method and a space.
+REQUEST_START = re.compile(rb"[A-Z]+(?: |\Z)")
+# Number of bytes that are kept of a message that does not begin like a request.
+QUOTED_BYTES = 24
 HEAD_END = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE)
 # SO_LINGER with a time of zero makes ``close`` send a reset.
@@ -167,7 +171,11 @@
 
 
 class RouteProxy:
-    """One route: its listener, its connections and its faults."""
+    """One route: its listener, its connections and its faults.
+
+    ``unexpected_requests`` holds the first bytes of each message from a client that does not begin
+    with a method; they are forwarded like a request.
+    """
 
     __slots__ = (
         "closing",
@@ -180,6 +188,7 @@
         "held",
         "listener",
         "route",
+        "unexpected_requests",
     )
 
     def __init__(self, *, route: Route, executor: ThreadPoolExecutor) -> None:
@@ -192,6 +201,7 @@
         self.fault_generation = 0
         self.held: list[HeldMessage] = []
         self.connections: set[ProxiedConnection] = set()
+        self.unexpected_requests: list[bytes] = []
         self.closing = False
         self.listener = socket.create_server(socket_address(route.listen), backlog=512)
         executor.submit(self.accept_connections)
@@ -246,6 +256,7 @@
                 buffer += data
                 while size := message_size(buffer):
                     message, buffer = buffer[:size], buffer[size:]
+                    self.check_start(direction, message)
                     self.forward_message(connection, direction, message, target)
             self.wait_until_due(connection, direction)
             if not connection.reset:
@@ -254,12 +265,18 @@
         except OSError:
             self.reset_connection(connection)
         finally:
+            self.check_start(direction, buffer)
             with self.condition:
                 connection.open_directions -= 1
                 if connection.open_directions == 0:
                     connection.close()
                     self.connections.discard(connection)
 
+    def check_start(self, direction: str, message: bytes) -> None:
+        """Record a message from a client that does not begin like a request."""
+        if direction == REQUEST and message and not REQUEST_START.match(message):
+            self.unexpected_requests.append(message[:QUOTED_BYTES])
+
     def forward_message(
         self, connection: ProxiedConnection, direction: str, message: bytes, target: socket.socket
     ) -> None:
--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -16,7 +16,7 @@
     RECORD_LIMIT,
     SEARCH_PREFIX,
 )
-from rhubarbway_standins.soak.callers import DEADLINE_MS, CallerRequest
+from rhubarbway_standins.soak.callers import CALLER_LEFT, CALLER_TIMEOUT, CallerRequest
 from rhubarbway_standins.soak.plan import HOST_FAULTS, STORE_FAULTS, PlannedFault
 from rhubarbway_standins.soak.testbed import Drain
 
@@ -29,8 +29,6 @@
 # seconds.
 MAX_DRAIN_DELAY_S = 3.0
 MAX_STORE_RECOVERY_S = 4.0
-# Error of a request whose caller got no answer before its timeout.
-CALLER_TIMEOUT = "TimeoutError"
 # Statuses that guarantee that a request has not run and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Time by which a server's deadline may exceed the caller's, milliseconds.
@@ -50,6 +48,7 @@
         "requests",
         "shards",
         "started_at",
+        "unexpected_requests",
     )
 
     def __init__(
@@ -61,7 +60,9 @@
         drains: Iterable[Drain] = (),
         faults: Iterable[PlannedFault] = (),
         started_at: float = 0.0,
+        unexpected_requests: Iterable[str] = (),
     ) -> None:
+        self.unexpected_requests = list(unexpected_requests)
         self.drains = list(drains)
         self.faults = list(faults)
         self.started_at = started_at
@@ -142,10 +143,10 @@
                     f"{request_id}: sent for {request.target}, but arrived at {arrival.server} for "
                     f"{arrival.target}"
                 )
-            if arrival.deadline_ms > DEADLINE_MS + DEADLINE_SLACK_MS:
+            if arrival.deadline_ms > request.deadline_ms + DEADLINE_SLACK_MS:
                 yield (
                     f"{request_id}: arrived with a deadline of {arrival.deadline_ms} ms; "
-                    f"the caller's deadline is {DEADLINE_MS} ms"
+                    f"the caller's deadline is {request.deadline_ms} ms"
                 )
 
 
@@ -186,18 +187,18 @@
 def check_deadlines(record: RunRecord) -> Iterable[str]:
     """Check that an answer arrives at most 0.5 s after the deadline, unless the connection ends."""
     for request in record.requests.values():
-        if request.status and request.latency_s > DEADLINE_MS / 1000 + 0.5:
+        if request.status and request.latency_s > request.deadline_ms / 1000 + 0.5:
             yield (
                 f"{request.request_id} {request.target} was answered after "
-                f"{request.latency_s * 1000:.0f} ms; the deadline is {DEADLINE_MS} ms, with a "
-                "tolerance of 500 ms"
+                f"{request.latency_s * 1000:.0f} ms; the deadline is {request.deadline_ms} ms, "
+                "with a tolerance of 500 ms"
             )
 
 
 def check_connections(record: RunRecord) -> Iterable[str]:
     """Check that no host closes a connection before it answers a request that reached a server."""
     for request in record.requests.values():
-        is_closed = request.status == 0 and request.error not in ("", CALLER_TIMEOUT)
+        is_closed = request.status == 0 and request.error not in ("", CALLER_TIMEOUT, CALLER_LEFT)
         if not is_closed or request.request_id not in record.arrivals:
             continue
         if record.had_no_fault(
@@ -232,6 +233,21 @@
                     )
 
 
+def check_only_answers(record: RunRecord) -> Iterable[str]:
+    """Check that callers get only answers, and servers and the store only requests.
+
+    No fault excuses other bytes: the proxy cuts data only at its end, so what remains still begins
+    like a message, and no proxy is on the paths of callers.
+    """
+    for request in record.requests.values():
+        if request.unexpected_bytes:
+            yield (
+                f"{request.request_id} {request.target}: the connection to host {request.host} "
+                f"carried {request.unexpected_bytes}"
+            )
+    yield from record.unexpected_requests
+
+
 # A name says what the check requires, and stands before each problem that the check finds.
 CHECKS: dict[str, Callable[[RunRecord], Iterable[str]]] = {
     "right answers": check_answers,
@@ -242,6 +258,7 @@
     "answered in time": check_deadlines,
     "kept connections": check_connections,
     "drained servers": check_drained_servers,
+    "only answers": check_only_answers,
 }
 
 
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -147,6 +147,7 @@
             drains=self.testbed.drains,
             faults=self.faults,
             started_at=self.started_at,
+            unexpected_requests=self.testbed.unexpected_requests(),
         )
         for problem in find_problems(record):
             if problem not in self.problems:
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -116,6 +116,14 @@
         listen = self.proxy.route_proxies[self.server_route_name(server)].route.listen
         self.site.register(self.site.replicas[server], address=listen)
 
+    def unexpected_requests(self) -> list[str]:
+        """Return what hosts have sent to servers and to the store that is no request."""
+        return [
+            f"{name}: message {number} that is no request begins with {data!r}"
+            for name, route_proxy in self.proxy.route_proxies.items()
+            for number, data in enumerate(route_proxy.unexpected_requests)
+        ]
+
     def publish_configuration(self) -> None:
         """Publish the next configuration, with a marker route that names its version."""
         document = self.site.configuration()
--- a/src/rhubarbway_standins/soak/tests/test_checks.py
+++ b/src/rhubarbway_standins/soak/tests/test_checks.py
@@ -6,7 +6,7 @@
 
 from rhubarbway_standins.platform.replica import Arrival, encoded_records, reply_signature
 from rhubarbway_standins.platform.site import BOARD_SERVICE
-from rhubarbway_standins.soak.callers import DEADLINE_MS, CallerRequest
+from rhubarbway_standins.soak.callers import CALLER_LEFT, DEADLINE_MS, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, find_problems
 from rhubarbway_standins.soak.plan import PlannedFault
 from rhubarbway_standins.soak.testbed import Drain
@@ -14,12 +14,21 @@
 NOW = time.monotonic()
 
 
-def make_request(*, target="/waybills/1", status=200, latency_s=0.1, error="", is_correct=True):
+def make_request(
+    *,
+    target="/waybills/1",
+    status=200,
+    latency_s=0.1,
+    error="",
+    is_correct=True,
+    unexpected_bytes="",
+):
     request = CallerRequest(request_id="q1", target=target, host=0, is_connection_reused=True)
     request.started_at = NOW
     request.ended_at = NOW + latency_s
     request.status = status
     request.error = error
+    request.unexpected_bytes = unexpected_bytes
     request.body = encoded_records(BOARD_SERVICE, target) if is_correct else b"another"
     request.headers = {"x-server-stamp": reply_signature(BOARD_SERVICE, "q1", request.body)}
     return request
@@ -97,6 +106,25 @@
         requests = [make_request(target="/bookings/1", status=503)]
         assert failed_checks(requests, [make_arrival(target="/bookings/1", ran=False)]) == set()
 
+    def test_a_caller_that_leaves_is_not_cut_off(self):
+        """Guards against reporting connections that the callers themselves closed."""
+        left = make_request(status=0, error=CALLER_LEFT)
+        assert failed_checks([left], [make_arrival()]) == set()
+
+    def test_no_fault_excuses_bytes_that_are_no_answer(self):
+        """Guards against taking foreign bytes on a connection for the effect of a kill."""
+        faults = [PlannedFault(kind="host_kill", target_index=0, begin_s=0.0, end_s=0.2)]
+        spoiled = make_request(
+            status=0, error="UnexpectedBytes", unexpected_bytes="b'\\x01' in place"
+        )
+        assert failed_checks([spoiled], [make_arrival()], faults=faults) == {"only answers"}
+
+    def test_a_message_that_is_no_request_is_named(self):
+        """Guards against ignoring what hosts send to servers and to the store."""
+        assert failed_checks([], [], unexpected_requests=["store-0: no request"]) == {
+            "only answers"
+        }
+
     def test_a_killed_host_may_close_connections(self):
         """Guards against reporting connections that were cut because the host was killed."""
         faults = [PlannedFault(kind="host_kill", target_index=0, begin_s=0.0, end_s=0.2)]
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -17,7 +17,14 @@
     reused_numbers,
     touched,
 )
-from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE, FaultProxy, Route
+from rhubarbway_standins.fault_proxy import (
+    QUOTED_BYTES,
+    REQUEST,
+    RESPONSE,
+    FaultProxy,
+    Route,
+    socket_address,
+)
 from rhubarbway_standins.processes import Fleet, call_json, free_ports
 
 PORTS = free_ports()
@@ -235,3 +242,22 @@
         assert route_proxy.listener.fileno() == -1
         with pytest.raises(OSError):
             socket.create_connection(("127.0.0.1", int(listen.rpartition(":")[2])), timeout=1.0)
+
+
+class TestUnexpectedRequests:
+    @pytest.mark.parametrize("ending", [b"", b"\r\n\r\n"])
+    def test_the_start_of_a_message_that_is_no_request_is_recorded(self, proxy, ending):
+        """Guards against forwarding foreign bytes in front of a request without a record."""
+        route_proxy = proxy.route_proxies["echo"]
+        message = b"\x01" + bytes(7) + b"POST / HTTP/1.1" + ending
+        with socket.create_connection(socket_address(route_proxy.route.listen)) as client:
+            client.sendall(message)
+            client.shutdown(socket.SHUT_WR)
+            while client.recv(1024):
+                pass
+        assert route_proxy.unexpected_requests == [message[:QUOTED_BYTES]]
+
+    def test_requests_are_not_recorded(self, proxy, connections):
+        """Guards against a report about requests, also those whose body has other bytes."""
+        assert connections[0].call("POST", "/", b"\x01\x00", timeout_s=2.0).status == 200
+        assert proxy.route_proxies["echo"].unexpected_requests == []
