Add bursts, passing deadlines and shared cores to the soak

The soak never had attempts that end at the same instant as their requests: callers pause between requests and rarely reach a deadline, servers do not answer at theirs, and each host has cores to itself.

By seed, a run now has bursts of one to three seconds, in which callers do not pause and further callers open a connection for each request, with deadlines of 100 to 400 ms; some of them leave before the answer. In most bursts all servers answer 504 at the deadline that a request names. With every third seed three hosts share a core, and fan-outs have ten shards. The faults of earlier seeds stay as planned: the load has a random generator of its own. Logs of failed runs can be kept, and a start that fails ends the hosts that it started.

--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -54,6 +54,8 @@
     fault : callable or None
         Called with the socket and the encoded response before it is sent; returns True to close
         the connection, so that the response is not sent.
+    holds_until_deadline : bool
+        Whether each admitted request is answered with 504 when its deadline passes.
     leaving : bool
         Whether each response announces that the replica leaves.
     quiet_s : str or None
@@ -69,6 +71,7 @@
         "arrivals",
         "draining",
         "fault",
+        "holds_until_deadline",
         "leaving",
         "lock",
         "on_arrival",
@@ -102,6 +105,7 @@
         self.service_time_s = service_time_s
         self.draining = False
         self.leaving = False
+        self.holds_until_deadline = False
         self.quiet_s: str | None = None
         self.fault: Callable[[socket.socket, bytes], bool] | None = None
         self.unpaused = threading.Event()
@@ -171,6 +175,10 @@
                 refusal.headers["Retry-After"] = self.quiet_s
             return refusal
         try:
+            if self.holds_until_deadline:
+                self.record_arrival(request, deadline_ms, ran=True)
+                time.sleep(deadline_ms / 1000)
+                return Response(status=504, headers={"X-Request-Id": request_id})
             with self.slots:
                 self.record_arrival(request, deadline_ms, ran=True)
                 time.sleep(self.service_time_s)
--- a/src/rhubarbway_standins/processes.py
+++ b/src/rhubarbway_standins/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import socket
@@ -45,9 +46,12 @@
 
 
 class ManagedProcess:
-    """A child process that this run started; signals go only to its own process id."""
+    """A child process that this run started; signals go only to its own process id.
 
-    __slots__ = ("arguments", "environment", "log_path", "name", "process")
+    ``core`` is the core that it is bound to, or None for all.
+    """
+
+    __slots__ = ("arguments", "core", "environment", "log_path", "name", "process")
 
     def __init__(
         self,
@@ -58,6 +62,7 @@
         environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
+        self.core: int | None = None
         self.environment = environment or {}
         self.arguments = arguments
         self.log_path = log_path
@@ -75,6 +80,17 @@
                 stdin=subprocess.DEVNULL,
                 env=environment,
             )
+        if self.core is not None:
+            self.bind(self.core)
+
+    def bind(self, core: int) -> None:
+        """Bind all threads of the process to one core, now and after each further start."""
+        self.core = core
+        assert self.process is not None
+        for thread in os.listdir(f"/proc/{self.process.pid}/task"):
+            # A thread may end after it was listed.
+            with contextlib.suppress(ProcessLookupError):
+                os.sched_setaffinity(int(thread), {core})
 
     @property
     def is_running(self) -> bool:
--- a/src/rhubarbway_standins/soak/callers.py
+++ b/src/rhubarbway_standins/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of a soak run; each keeps its connection until the host closes it."""
+"""Callers of a soak run; each keeps its connection until the host closes it, except in bursts."""
 
 from __future__ import annotations
 
@@ -26,6 +26,13 @@
 MAX_PAUSE_S = 0.06
 # Weights of the kinds of requests, by path prefix.
 PREFIX_WEIGHTS = {SEARCH_PREFIX: 6, SINGLE_PREFIX: 2, BOOKING_PREFIX: 2}
+# Deadlines of the requests of a burst, milliseconds. They are short, so that many of them pass.
+BURST_DEADLINES_MS = (100, 200, 400)
+# Probability that a caller of a burst leaves before the answer, and the longest time that it stays.
+LEAVE_PROBABILITY = 0.15
+MAX_STAY_S = 0.1
+# Pause of a burst caller after a failed request, so that it does not spin on a host that is down.
+FAILURE_PAUSE_S = 0.05
 # Start of each answer.
 STATUS_LINE_START = b"HTTP/1.1 "
 RECEIVE_BYTES = 64 * 1024
@@ -159,21 +166,34 @@
 
 
 class Caller:
-    """Caller that sends one request at a time until it is stopped."""
+    """Caller that sends one request at a time until it is stopped.
+
+    Outside a burst it pauses between requests. A burst caller sends requests only in bursts, most
+    of them on new connections and with deadlines that often pass, and leaves some answers.
+    """
 
     __slots__ = (
         "connection",
         "host",
+        "is_burst_caller",
         "random",
         "requests",
         "stopping",
         "testbed",
     )
 
-    def __init__(self, *, testbed: SoakTestbed, seed: int, stopping: threading.Event) -> None:
+    def __init__(
+        self,
+        *,
+        testbed: SoakTestbed,
+        seed: int,
+        stopping: threading.Event,
+        is_burst_caller: bool = False,
+    ) -> None:
         self.testbed = testbed
         self.random = Random(seed)
         self.stopping = stopping
+        self.is_burst_caller = is_burst_caller
         self.requests: list[CallerRequest] = []
         self.host = self.random.randrange(len(testbed.gateways.addresses))
         self.connection: CallerConnection | None = None
@@ -181,15 +201,32 @@
     def run(self) -> None:
         """Send requests until the run stops; move to the next host after a failure."""
         while not self.stopping.is_set():
+            if self.is_burst_caller and not self.testbed.burst.wait(MAX_PAUSE_S):
+                continue
             prefix = self.random.choices(
                 list(PREFIX_WEIGHTS), weights=list(PREFIX_WEIGHTS.values())
             )[0]
-            request = self.send_request(f"{prefix}{self.random.randrange(1 << 30):x}")
+            target = f"{prefix}{self.random.randrange(1 << 30):x}"
+            request = self.send_burst_request(target) if self.is_burst_caller else None
+            request = request or self.send_request(target)
             if request.error not in ("", CALLER_LEFT):
                 self.host = (self.host + 1) % len(self.testbed.gateways.addresses)
-            self.stopping.wait(self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+                self.stopping.wait(FAILURE_PAUSE_S)
+            elif not self.testbed.burst.is_set():
+                self.stopping.wait(self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
         self.disconnect()
 
+    def send_burst_request(self, target: str) -> CallerRequest:
+        """Send a request with a short deadline on a connection of its own."""
+        does_leave = self.random.random() < LEAVE_PROBABILITY
+        request = self.send_request(
+            target,
+            deadline_ms=self.random.choice(BURST_DEADLINES_MS),
+            stay_s=self.random.uniform(0.001, MAX_STAY_S) if does_leave else None,
+        )
+        self.disconnect()
+        return request
+
     def send_request(
         self, target: str, *, deadline_ms: int = DEADLINE_MS, stay_s: float | None = None
     ) -> CallerRequest:
--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -16,10 +16,17 @@
     RECORD_LIMIT,
     SEARCH_PREFIX,
 )
-from rhubarbway_standins.soak.callers import CALLER_LEFT, CALLER_TIMEOUT, CallerRequest
+from rhubarbway_standins.soak.callers import (
+    CALLER_LEFT,
+    CALLER_TIMEOUT,
+    DEADLINE_MS,
+    CallerRequest,
+)
 from rhubarbway_standins.soak.plan import HOST_FAULTS, STORE_FAULTS, PlannedFault
 from rhubarbway_standins.soak.testbed import Drain
 
+# Faults that suspend a host.
+PAUSES = frozenset({"host_pause"})
 # Faults after which a host may lose its open requests, and faults that may delay updates to hosts.
 ABRUPT_HOST_FAULTS = frozenset({"host_kill", "host_pause"})
 UPDATE_DELAYING_FAULTS = frozenset(HOST_FAULTS) | frozenset(STORE_FAULTS)
@@ -187,6 +194,16 @@
 def check_deadlines(record: RunRecord) -> Iterable[str]:
     """Check that an answer arrives at most 0.5 s after the deadline, unless the connection ends."""
     for request in record.requests.values():
+        # A caller with a shorter deadline than ``DEADLINE_MS`` still waits for that long, and so it
+        # may get the late answer of a host that was paused.
+        was_paused = request.deadline_ms < DEADLINE_MS and not record.had_no_fault(
+            request.started_at,
+            request.ended_at,
+            kinds=PAUSES,
+            target_index=request.host,
+        )
+        if was_paused:
+            continue
         if request.status and request.latency_s > request.deadline_ms / 1000 + 0.5:
             yield (
                 f"{request.request_id} {request.target} was answered after "
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -130,6 +130,26 @@
     return end
 
 
+def burst(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make callers send without pauses, and burst callers send at all."""
+    testbed.burst.set()
+    return testbed.burst.clear
+
+
+def servers_hold(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make all servers answer each request with 504 at its deadline.
+
+    All attempts of a fan-out then end at the same instant as the request.
+    """
+
+    def set_all(holds: bool) -> None:
+        for replica in testbed.site.replicas:
+            replica.holds_until_deadline = holds
+
+    set_all(True)
+    return lambda: set_all(False)
+
+
 def store_mode_fault(mode: StoreMode) -> Callable[[SoakTestbed, int], EndFault]:
     """Return a fault that puts the store into a mode."""
 
@@ -171,4 +191,6 @@
     "store_silent": store_mode_fault(StoreMode.SILENT),
     "store_forgets": store_forgets,
     "configuration": configuration,
+    "burst": burst,
+    "servers_hold": servers_hold,
 }
--- a/src/rhubarbway_standins/soak/main.py
+++ b/src/rhubarbway_standins/soak/main.py
@@ -15,10 +15,12 @@
 
 @app.command()
 def run(
+    *,
     first_seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 1,
     seeds: Annotated[int, typer.Option(min=1, help="Number of runs, each with the next seed.")] = 1,
     seconds: Annotated[float, typer.Option(min=4.0, help="Duration of a run, seconds.")] = 15.0,
     hosts: Annotated[int, typer.Option(min=1, help="Number of entry hosts.")] = 3,
+    logs: Annotated[Path | None, typer.Option(help="Directory for logs of failed runs.")] = None,
     report: Annotated[Path | None, typer.Option(help="Directory for a plot of each run.")] = None,
 ) -> None:
     """Run the soak test; the exit code is 1 if a check failed."""
@@ -30,6 +32,7 @@
             duration_s=seconds,
             hosts=hosts,
             progress=lambda line, seed=seed: typer.echo(f"seed {seed}: {line}"),
+            kept_logs=logs,
         )
         typer.echo(
             f"seed {seed}: {len(result.faults)} faults, {len(result.requests)} requests, "
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -34,6 +34,21 @@
     "server_paused": 3,
     "server_drained": 2,
 }
+# Periods of high load: callers that do not pause, and servers that answer only at the deadline.
+LOAD_KINDS = ("burst", "servers_hold")
+# Bounds of the pause between two bursts and of the duration of a burst, seconds.
+MIN_BURST_GAP_S = 0.5
+MAX_BURST_GAP_S = 2.0
+MIN_BURST_S = 1.0
+MAX_BURST_S = 3.0
+# Probability that servers hold requests until their deadline in a burst.
+HOLD_PROBABILITY = 0.8
+# Hosts that share a core. They do so with every third seed, which also makes fan-outs wider.
+HOSTS_PER_CORE = 3
+SHARED_CORE_PERIOD = 3
+SHARED_CORE_REMAINDER = 2
+SHARDS = 4
+SHARDS_ON_SHARED_CORES = 10
 STORE_FAULTS = {"store_refuses": 2, "store_silent": 2, "store_forgets": 1, "configuration": 4}
 
 
@@ -88,3 +103,48 @@
             if random.random() >= REPEAT_PROBABILITY:
                 break
             begin = end + random.uniform(0.0, 0.5)
+
+
+def plan_load(*, seed: int, duration_s: float) -> list[PlannedFault]:
+    """Return the bursts of a run, in most of which servers hold requests.
+
+    They have a random generator of their own, so a seed keeps the faults of ``plan_faults``.
+
+    Examples
+    --------
+    >>> sorted({period.kind for period in plan_load(seed=3, duration_s=20.0)})
+    ['burst', 'servers_hold']
+    """
+    random = Random(f"load {seed}")
+    latest_end = duration_s - FAULT_FREE_END_S
+    load: list[PlannedFault] = []
+    begin = FAULT_FREE_START_S
+    while begin + MIN_BURST_S < latest_end:
+        end = min(begin + random.uniform(MIN_BURST_S, MAX_BURST_S), latest_end)
+        kinds = ["burst"] if random.random() >= HOLD_PROBABILITY else LOAD_KINDS
+        load += [
+            PlannedFault(kind=kind, target_index=0, begin_s=begin, end_s=end) for kind in kinds
+        ]
+        begin = end + random.uniform(MIN_BURST_GAP_S, MAX_BURST_GAP_S)
+    return load
+
+
+def has_shared_cores(seed: int) -> bool:
+    """Whether the hosts of a run share cores."""
+    return seed % SHARED_CORE_PERIOD == SHARED_CORE_REMAINDER
+
+
+def shared_cores(*, seed: int, hosts: int, cores: list[int]) -> list[int | None]:
+    """Return the core that each host is bound to, or None for a host that may use all.
+
+    Examples
+    --------
+    >>> shared_cores(seed=5, hosts=4, cores=[0, 1])
+    [1, 1, 1, 0]
+    >>> shared_cores(seed=1, hosts=2, cores=[0, 1])
+    [None, None]
+    """
+    if not has_shared_cores(seed):
+        return [None] * hosts
+    first = seed // SHARED_CORE_PERIOD
+    return [cores[(first + host // HOSTS_PER_CORE) % len(cores)] for host in range(hosts)]
--- a/src/rhubarbway_standins/soak/report.py
+++ b/src/rhubarbway_standins/soak/report.py
@@ -7,7 +7,8 @@
 from matplotlib.figure import Figure
 
 from rhubarbway_standins.platform.site import SEARCH_PREFIX
-from rhubarbway_standins.soak.run import SHARDS, SoakResult
+from rhubarbway_standins.soak.plan import SHARDS, SHARDS_ON_SHARED_CORES, has_shared_cores
+from rhubarbway_standins.soak.run import SoakResult
 
 # Colours of faults by the first word of their kind.
 FAULT_COLOURS = {"host": "tab:red", "store": "tab:purple", "server": "tab:orange"}
@@ -34,12 +35,13 @@
     latency.legend(loc="upper right")
     served: dict[int, list[float]] = {}
     coverage: dict[int, list[float]] = {}
+    shards = SHARDS_ON_SHARED_CORES if has_shared_cores(result.seed) else SHARDS
     for request in result.requests:
         bin_index = int((request.started_at - result.started_at) / BIN_WIDTH_S)
         served.setdefault(bin_index, []).append(request.status == 200)
         if request.status == 200 and request.target.startswith(SEARCH_PREFIX):
             missing = int(request.headers.get("x-missing-shards", "0"))
-            coverage.setdefault(bin_index, []).append(1.0 - missing / SHARDS)
+            coverage.setdefault(bin_index, []).append(1.0 - missing / shards)
     for label, samples in (("share served", served), ("coverage", coverage)):
         bins = sorted(samples)
         means = [sum(samples[index]) / len(samples[index]) for index in bins]
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import signal
 import tempfile
 import threading
@@ -15,13 +16,20 @@
 from rhubarbway_standins.soak.callers import Caller, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, broken_invariant_lines, find_problems
 from rhubarbway_standins.soak.faults import FAULTS, EndFault
-from rhubarbway_standins.soak.plan import PlannedFault, plan_faults
+from rhubarbway_standins.soak.plan import (
+    SHARDS,
+    SHARDS_ON_SHARED_CORES,
+    PlannedFault,
+    has_shared_cores,
+    plan_faults,
+    plan_load,
+)
 from rhubarbway_standins.soak.testbed import SoakTestbed
 
-SHARDS = 4
 # Stated processor of hosts that delegate even fan-outs over four shards, cores.
 DELEGATING_CORES = 0.005
 CALLERS_PER_HOST = 3
+BURST_CALLERS_PER_HOST = 6
 # Interval of the checks during a run, seconds.
 CHECK_INTERVAL_S = 2.0
 # Limit until a new configuration is in force on all hosts after the last fault, seconds: a host has
@@ -93,9 +101,16 @@
         self.faults = plan_faults(
             seed=seed, duration_s=duration_s, hosts=hosts, servers=len(testbed.site.replicas)
         )
+        self.faults += plan_load(seed=seed, duration_s=duration_s)
+        callers = CALLERS_PER_HOST * hosts
         self.callers = [
-            Caller(testbed=testbed, seed=seed * 1000 + number, stopping=self.stopping)
-            for number in range(CALLERS_PER_HOST * hosts)
+            Caller(
+                testbed=testbed,
+                seed=seed * 1000 + number,
+                stopping=self.stopping,
+                is_burst_caller=number >= callers,
+            )
+            for number in range(callers + BURST_CALLERS_PER_HOST * hosts)
         ]
 
     def run(self, *, progress: Callable[[str], None]) -> SoakResult:
@@ -213,13 +228,30 @@
 
 
 def run_soak(
-    *, seed: int, duration_s: float, hosts: int, progress: Callable[[str], None] = lambda line: None
+    *,
+    seed: int,
+    duration_s: float,
+    hosts: int,
+    progress: Callable[[str], None] = lambda line: None,
+    kept_logs: Path | None = None,
 ) -> SoakResult:
-    """Return the result of one run with processes, stand-ins and proxies of its own."""
-    with (
-        tempfile.TemporaryDirectory(prefix="rhubarbway-soak-") as directory,
-        SoakTestbed(
-            directory=Path(directory), hosts=hosts, shards=SHARDS, cores=cores_of(seed, hosts=hosts)
-        ) as testbed,
-    ):
-        return SoakRun(testbed=testbed, seed=seed, duration_s=duration_s).run(progress=progress)
+    """Return the result of one run with processes, stand-ins and proxies of its own.
+
+    The hosts' logs of a run that fails or has problems are copied to ``kept_logs``.
+    """
+    result = None
+    with tempfile.TemporaryDirectory(prefix="rhubarbway-soak-") as directory:
+        try:
+            with SoakTestbed(
+                directory=Path(directory),
+                hosts=hosts,
+                shards=SHARDS_ON_SHARED_CORES if has_shared_cores(seed) else SHARDS,
+                cores=cores_of(seed, hosts=hosts),
+                seed=seed,
+            ) as testbed:
+                run = SoakRun(testbed=testbed, seed=seed, duration_s=duration_s)
+                result = run.run(progress=progress)
+                return result
+        finally:
+            if kept_logs is not None and (result is None or result.problems):
+                shutil.copytree(directory, kept_logs / f"soak-{seed}", dirs_exist_ok=True)
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
 from collections.abc import Sequence
@@ -11,6 +12,7 @@
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import Site
 from rhubarbway_standins.processes import free_ports
+from rhubarbway_standins.soak.plan import shared_cores
 
 
 class Drain:
@@ -34,10 +36,13 @@
 class SoakTestbed:
     """Site, gateway processes and the proxy between them; used as a context manager.
 
-    ``cores`` gives the processor that the settings of each host state.
+    ``cores`` gives the processor that the settings of each host state. ``seed`` decides whether
+    hosts share cores.
 
     Attributes
     ----------
+    burst : threading.Event
+        Set while callers send without pauses.
     drains : list of Drain
         Periods in which servers were draining.
     published_at : dict of int to float
@@ -47,6 +52,8 @@
     """
 
     __slots__ = (
+        "bound_cores",
+        "burst",
         "drains",
         "gateways",
         "ports",
@@ -58,8 +65,15 @@
     )
 
     def __init__(
-        self, *, directory: Path, hosts: int, shards: int, cores: Sequence[float] = ()
+        self,
+        *,
+        directory: Path,
+        hosts: int,
+        shards: int,
+        cores: Sequence[float] = (),
+        seed: int = 1,
     ) -> None:
+        self.burst = threading.Event()
         self.ports = free_ports()
         self.site = Site(ports=self.ports, shards=shards)
         self.start_lock = threading.Lock()
@@ -80,12 +94,22 @@
         self.proxy = FaultProxy(routes=routes)
         for number, _ in self.numbered_replicas():
             self.register_server(number)
+        self.bound_cores = shared_cores(
+            seed=seed, hosts=hosts, cores=sorted(os.sched_getaffinity(0))
+        )
         for number, settings in enumerate(self.gateways.settings):
             settings.store = self.proxy.route_proxies[self.store_route_name(number)].route.listen
             self.gateways.processes[number] = self.gateways.make_process(settings)
 
     def __enter__(self) -> SoakTestbed:
-        self.gateways.__enter__()
+        try:
+            self.gateways.__enter__()
+        except BaseException:
+            self.__exit__()
+            raise
+        for process, core in zip(self.gateways.processes, self.bound_cores, strict=True):
+            if core is not None:
+                process.bind(core)
         return self
 
     def __exit__(self, *exception: object) -> None:
--- a/src/rhubarbway_standins/soak/tests/test_checks.py
+++ b/src/rhubarbway_standins/soak/tests/test_checks.py
@@ -111,6 +111,16 @@
         left = make_request(status=0, error=CALLER_LEFT)
         assert failed_checks([left], [make_arrival()]) == set()
 
+    def test_only_a_pause_excuses_a_late_answer_to_a_short_deadline(self):
+        """Guards against late answers that are missed, or reported although the host was paused."""
+        late = make_request(latency_s=0.8)
+        late.deadline_ms = 200
+        assert failed_checks([late], [make_arrival(deadline_ms=200)]) == {"answered in time"}
+        for kind, failed in (("host_pause", set()), ("host_kill", {"answered in time"})):
+            faults = [PlannedFault(kind=kind, target_index=0, begin_s=0.1, end_s=0.2)]
+            arrivals = [make_arrival(deadline_ms=200)]
+            assert failed_checks([late], arrivals, faults=faults) == failed
+
     def test_no_fault_excuses_bytes_that_are_no_answer(self):
         """Guards against taking foreign bytes on a connection for the effect of a kill."""
         faults = [PlannedFault(kind="host_kill", target_index=0, begin_s=0.0, end_s=0.2)]
--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -6,10 +6,13 @@
 from rhubarbway_standins.soak.faults import FAULTS
 from rhubarbway_standins.soak.plan import (
     FAULT_FREE_END_S,
+    FAULT_FREE_START_S,
     HOST_FAULTS,
+    LOAD_KINDS,
     SERVER_FAULTS,
     STORE_FAULTS,
     plan_faults,
+    plan_load,
 )
 
 
@@ -23,7 +26,8 @@
 
     def test_each_kind_can_be_injected(self):
         """Guards against a planned kind of fault that has no function to inject it."""
-        assert FAULTS.keys() == (HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS).keys()
+        planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
+        assert FAULTS.keys() == planned.keys() | set(LOAD_KINDS)
 
     def test_faults_overlap_and_come_in_series(self):
         """Guards against plans in which no faults overlap, or only those of different kinds."""
@@ -36,3 +40,22 @@
         ]
         assert overlapping
         assert any(first.kind == second.kind for first, second in overlapping)
+
+
+class TestLoad:
+    @given(seed=st.integers(0, 10_000))
+    def test_bursts_come_several_times_and_do_not_overlap(self, seed):
+        """Guards against a burst that ends an overlapping one, and against runs with one burst."""
+        load = plan_load(seed=seed, duration_s=12.0)
+        bursts = [period for period in load if period.kind == "burst"]
+        assert len(bursts) >= 2
+        assert bursts[0].begin_s >= FAULT_FREE_START_S
+        assert bursts[-1].end_s <= 12.0 - FAULT_FREE_END_S
+        for earlier, later in zip(bursts, bursts[1:], strict=False):
+            assert earlier.end_s < later.begin_s
+
+    def test_servers_hold_requests_in_most_runs(self):
+        """Guards against plans in which no time limit passes."""
+        plans = [plan_load(seed=seed, duration_s=12.0) for seed in range(20)]
+        holding = [load for load in plans if any(p.kind == "servers_hold" for p in load)]
+        assert len(holding) > len(plans) / 2
