Add connections that go silent, cuts of readers and restarts to the soak

New kinds of faults: open connections to the store or to a server that go silent for good while new ones work, cuts of exactly the hosts that have connections to the store, servers that end and come back under their id and address with a later time of birth, and replies with header bytes outside ASCII.

Paths between hosts still have no proxy.

--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -137,15 +137,19 @@
 
 
 class ProxiedConnection:
-    """One proxied connection; ``path`` is the path of the last request on it."""
+    """One proxied connection; ``path`` is the path of the last request on it.
 
-    __slots__ = ("client", "open_directions", "path", "reset", "server")
+    A silent connection takes data and forwards none until its client closes it.
+    """
+
+    __slots__ = ("client", "open_directions", "path", "reset", "server", "silent")
 
     def __init__(self, *, client: socket.socket, server: socket.socket) -> None:
         self.client = client
         self.server = server
         self.path = ""
         self.reset = False
+        self.silent = False
         self.open_directions = 2
 
     def stop_reading(self) -> None:
@@ -253,14 +257,17 @@
         buffer = b""
         try:
             while data := source.recv(RECEIVE_BUFFER_BYTES):
+                if connection.silent:
+                    continue
                 buffer += data
                 while size := message_size(buffer):
                     message, buffer = buffer[:size], buffer[size:]
                     self.check_start(direction, message)
                     self.forward_message(connection, direction, message, target)
             self.wait_until_due(connection, direction)
-            if not connection.reset:
-                target.sendall(buffer)
+            # A client must not learn that a silent connection has ended.
+            if not connection.reset and not (connection.silent and direction == RESPONSE):
+                target.sendall(b"" if connection.silent else buffer)
                 target.shutdown(socket.SHUT_WR)
         except OSError:
             self.reset_connection(connection)
@@ -284,6 +291,8 @@
         if direction == REQUEST:
             connection.path = request_path(message)
         self.wait_until_due(connection, direction)
+        if connection.silent:
+            return
         with self.condition:
             faults = self.faults[direction]
             faulty = faults.consume(connection.path)
@@ -356,6 +365,14 @@
             self.condition.notify_all()
             connection.stop_reading()
 
+    def silence_all(self) -> int:
+        """Make all open connections silent for good, and return their number."""
+        with self.condition:
+            connections = list(self.connections)
+            for connection in connections:
+                connection.silent = True
+        return len(connections)
+
     def reset_all(self) -> int:
         """Reset all open connections and return their number."""
         with self.condition:
@@ -420,6 +437,10 @@
         """Reset the open connections of a route, or of all routes; return their number."""
         return sum(route_proxy.reset_all() for route_proxy in self.selected_proxies(route))
 
+    def silence(self, route: str | None) -> int:
+        """Make the open connections of a route silent for good; new ones work."""
+        return sum(route_proxy.silence_all() for route_proxy in self.selected_proxies(route))
+
     def state(self) -> dict[str, dict[str, int]]:
         """Return open connections and applied faults by route."""
         return {
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -21,6 +21,10 @@
 MAX_ADMITTED = 18
 
 
+# Time at which a replica's first process was born, milliseconds since the epoch.
+FIRST_BORN_MS = 1_700_000_000_000
+
+
 class Arrival:
     """A request that reached a replica; ``ran`` is false if the replica refused it."""
 
@@ -69,6 +73,7 @@
     __slots__ = (
         "admitted",
         "arrivals",
+        "born_ms",
         "draining",
         "fault",
         "holds_until_deadline",
@@ -113,14 +118,25 @@
         self.admitted = 0
         self.lock = threading.Lock()
         self.on_arrival = on_arrival
-        self.server = HttpServer(
+        self.born_ms = FIRST_BORN_MS
+        self.server = self.start_server(address)
+
+    def start_server(self, address: tuple[str, int]) -> HttpServer:
+        """Start to serve on an address."""
+        server = HttpServer(
             address=address,
             handler=self.respond,
             error_handler=lambda status, detail: Response(detail, status=status),
             max_connections=64,
-            name=server_id,
+            name=self.server_id,
         )
-        self.server.start()
+        server.start()
+        return server
+
+    def restart(self) -> None:
+        """Serve again after a stop, on the same address and under the same id."""
+        self.born_ms += 1000
+        self.server = self.start_server(self.server.address)
 
     @property
     def address(self) -> str:
@@ -139,7 +155,7 @@
                 "state": "draining" if self.draining else "ready",
                 "warmupLeftMs": 0,
                 "sequence": 1,
-                "born": 1_700_000_000_000,
+                "born": self.born_ms,
             }
             | changes
         )
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import time
 from collections.abc import Callable
 
@@ -12,6 +13,8 @@
 from rhubarbway_standins.platform.store import StoreMode
 from rhubarbway_standins.soak.testbed import Drain, SoakTestbed
 
+# Header whose value is encoded in UTF-8; HTTP permits such bytes in values.
+NOT_ASCII_HEADER = "X-Origin: Timișoara, Brăila é\r\n".encode()
 EndFault = Callable[[], None]
 # Delay in each faulty direction of a path.
 PATH_DELAY_MS = 120.0
@@ -88,6 +91,29 @@
     return do_nothing
 
 
+def store_connections_silent(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make the open connections of one host to the store silent for good; new ones work."""
+    testbed.proxy.silence(testbed.store_route_name(target_index))
+    return do_nothing
+
+
+def store_readers_cut(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Cut the hosts that have connections to the store off from it, and no others."""
+    state = testbed.proxy.state()
+    begin = store_path_fault(freeze=True)
+    ends = [
+        begin(testbed, host)
+        for host in range(len(testbed.gateways.processes))
+        if state[testbed.store_route_name(host)]["connections"]
+    ]
+
+    def end() -> None:
+        for end_one in ends:
+            end_one()
+
+    return end
+
+
 def server_path_fault(
     direction: str, **path_faults: object
 ) -> Callable[[SoakTestbed, int], EndFault]:
@@ -107,6 +133,35 @@
     return do_nothing
 
 
+def server_connections_silent(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make the open connections to one server silent for good; new ones work."""
+    testbed.proxy.silence(testbed.server_route_name(target_index))
+    return do_nothing
+
+
+def server_restarted(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """End a server and delete its entry; it comes back under its id and address."""
+    testbed.stop_server(target_index)
+    return lambda: testbed.restart_server(target_index)
+
+
+def server_headers_not_ascii(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make a server send a header with bytes outside ASCII, and close after each reply."""
+    replica = testbed.site.replicas[target_index]
+
+    def send(sock: socket.socket, encoded: bytes) -> bool:
+        status_line, _, rest = encoded.partition(b"\r\n")
+        sock.sendall(status_line + b"\r\n" + NOT_ASCII_HEADER + rest)
+        return True
+
+    replica.fault = send
+
+    def end() -> None:
+        replica.fault = None
+
+    return end
+
+
 def server_paused(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Make a server accept requests without answering them."""
     replica = testbed.site.replicas[target_index]
@@ -191,6 +246,11 @@
     "store_silent": store_mode_fault(StoreMode.SILENT),
     "store_forgets": store_forgets,
     "configuration": configuration,
+    "store_connections_silent": store_connections_silent,
+    "store_readers_cut": store_readers_cut,
+    "server_connections_silent": server_connections_silent,
+    "server_restarted": server_restarted,
+    "server_headers_not_ascii": server_headers_not_ascii,
     "burst": burst,
     "servers_hold": servers_hold,
 }
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -34,6 +34,16 @@
     "server_paused": 3,
     "server_drained": 2,
 }
+# Kinds of faults that a separate random generator plans, so that the faults of a seed that once
+# failed stay as they were.
+LATER_HOST_FAULTS = {"store_connections_silent": 3}
+LATER_SERVER_FAULTS = {
+    "server_connections_silent": 3,
+    "server_restarted": 3,
+    "server_headers_not_ascii": 2,
+}
+LATER_STORE_FAULTS = {"store_readers_cut": 3}
+LATER_SERIES_PER_S = 0.5
 # Periods of high load: callers that do not pause, and servers that answer only at the deadline.
 LOAD_KINDS = ("burst", "servers_hold")
 # Bounds of the pause between two bursts and of the duration of a burst, seconds.
@@ -80,18 +90,41 @@
     >>> repr(first) == repr(plan_faults(seed=3, duration_s=20.0, hosts=3, servers=10))
     True
     """
-    random = Random(seed)
-    target_counts = {name: hosts for name in HOST_FAULTS} | {
-        name: servers for name in SERVER_FAULTS
-    }
-    weights = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
+    targets = {name: hosts for name in HOST_FAULTS | LATER_HOST_FAULTS}
+    targets |= {name: servers for name in SERVER_FAULTS | LATER_SERVER_FAULTS}
+    first = plan_series(
+        random=Random(seed),
+        weights=HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS,
+        target_counts=targets,
+        series_per_s=SERIES_PER_S,
+        duration_s=duration_s,
+    )
+    later = plan_series(
+        random=Random(f"later {seed}"),
+        weights=LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS,
+        target_counts=targets,
+        series_per_s=LATER_SERIES_PER_S,
+        duration_s=duration_s,
+    )
+    return sorted(first + later, key=lambda fault: fault.begin_s)
+
+
+def plan_series(
+    *,
+    random: Random,
+    weights: dict[str, int],
+    target_counts: dict[str, int],
+    series_per_s: float,
+    duration_s: float,
+) -> list[PlannedFault]:
+    """Return series of faults, of kinds drawn by their weights."""
     latest_end = duration_s - FAULT_FREE_END_S
     faults: list[PlannedFault] = []
     at = FAULT_FREE_START_S
     while True:
-        at += random.expovariate(SERIES_PER_S)
+        at += random.expovariate(series_per_s)
         if at + MIN_FAULT_S >= latest_end:
-            return sorted(faults, key=lambda fault: fault.begin_s)
+            return faults
         kind = random.choices(list(weights), weights=list(weights.values()))[0]
         target_index = random.randrange(target_counts.get(kind, 1))
         begin = at
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -59,6 +59,7 @@
         "ports",
         "proxy",
         "published_at",
+        "server_lock",
         "site",
         "start_lock",
         "stop_exit_codes",
@@ -77,6 +78,7 @@
         self.ports = free_ports()
         self.site = Site(ports=self.ports, shards=shards)
         self.start_lock = threading.Lock()
+        self.server_lock = threading.Lock()
         self.drains: list[Drain] = []
         self.published_at: dict[int, float] = {}
         self.stop_exit_codes: list[tuple[int, int]] = []
@@ -169,6 +171,21 @@
             if not process.is_running:
                 process.start()
 
+    def stop_server(self, server: int) -> None:
+        """End a server and delete its entry in the store."""
+        replica = self.site.replicas[server]
+        with self.server_lock:
+            replica.stop()
+            self.site.store.delete(f"servers/{replica.server_id}")
+
+    def restart_server(self, server: int) -> None:
+        """Start a server that has ended, unless the end of another fault has done so already."""
+        replica = self.site.replicas[server]
+        with self.server_lock:
+            if replica.server.stopping:
+                replica.restart()
+                self.register_server(server)
+
     def record_exit(self, host: int, code: int) -> None:
         """Record the exit code of a host that was asked to stop."""
         self.stop_exit_codes.append((host, code))
--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -8,6 +8,9 @@
     FAULT_FREE_END_S,
     FAULT_FREE_START_S,
     HOST_FAULTS,
+    LATER_HOST_FAULTS,
+    LATER_SERVER_FAULTS,
+    LATER_STORE_FAULTS,
     LOAD_KINDS,
     SERVER_FAULTS,
     STORE_FAULTS,
@@ -22,11 +25,16 @@
         """Guards against faults that outlast the run or whose host or server does not exist."""
         for fault in plan_faults(seed=seed, duration_s=15.0, hosts=3, servers=10):
             assert 0.0 < fault.begin_s < fault.end_s <= 15.0 - FAULT_FREE_END_S
-            assert 0 <= fault.target_index < (3 if fault.kind in HOST_FAULTS else 10)
+            assert (
+                0
+                <= fault.target_index
+                < (3 if fault.kind in HOST_FAULTS | LATER_HOST_FAULTS else 10)
+            )
 
     def test_each_kind_can_be_injected(self):
         """Guards against a planned kind of fault that has no function to inject it."""
         planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
+        planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS
         assert FAULTS.keys() == planned.keys() | set(LOAD_KINDS)
 
     def test_faults_overlap_and_come_in_series(self):
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -167,6 +167,20 @@
         assert proxy.cut("echo") == 1
 
 
+class TestSilence:
+    def test_an_open_connection_goes_silent_and_a_new_one_works(self, proxy, connections, echo):
+        """Guards against a silenced connection that forwards data or ends, and against one that
+        silences later connections."""
+        connections[0].call("POST", "/", b"a", timeout_s=2.0)
+        assert proxy.silence("echo") == 1
+        started_at = time.monotonic()
+        with pytest.raises(CallError):
+            connections[0].call("POST", "/", b"b", timeout_s=0.3)
+        assert time.monotonic() - started_at >= 0.3
+        assert connections[1].call("POST", "/", b"c", timeout_s=2.0).body == b"c"
+        assert echo.received == [b"a", b"c"]
+
+
 class TestProxyProcess:
     def test_routes_of_a_fleet_are_controlled_over_http(self, echo, tmp_path):
         """Guards against a control endpoint that ignores faults, keeps cleared faults, or accepts
