Ask all hosts at once for the newest configuration at the end of a soak

The check asked one host after the other, and servers that were still busy let each request take over a second, so that the limit of 7 s passed before the last hosts were asked again. The hosts are now asked at the same time; the limit stays.

--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -191,9 +191,15 @@
         self.testbed.publish_configuration()
         deadline = time.monotonic() + MAX_RECOVERY_S
         outdated = set(range(len(processes)))
-        while outdated and time.monotonic() < deadline:
-            outdated = {host for host in outdated if not self.serves_newest_version(host)}
-            time.sleep(POLL_INTERVAL_S if outdated else 0.0)
+        # All hosts are asked at once: a request that a server does not answer takes over a second.
+        with ThreadPoolExecutor(len(processes)) as executor:
+            while outdated and time.monotonic() < deadline:
+                asked = list(outdated)
+                served = executor.map(self.serves_newest_version, asked)
+                outdated -= {
+                    host for host, is_served in zip(asked, served, strict=True) if is_served
+                }
+                time.sleep(POLL_INTERVAL_S if outdated else 0.0)
         self.problems += [
             f"host {host} does not serve configuration version {self.testbed.site.version} "
             f"{MAX_RECOVERY_S} s after its publication"
