--- a/src/rhubarbway_standins/fault_proxy.py
+++ b/src/rhubarbway_standins/fault_proxy.py
@@ -27,6 +27,10 @@
 # Threads are created on demand; the number only bounds them.
 MAX_TASKS = 4096
 CONTROL_CONNECTIONS = 32
+# Start of each request, as far as it has been received: a method and a space.
+REQUEST_START = re.compile(rb"[A-Z]+(?: |\Z)")
+# Number of bytes that are kept of a message that does not begin like a request.
+QUOTED_BYTES = 24
 HEAD_END = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE)
 # SO_LINGER with a time of zero makes ``close`` send a reset.
@@ -133,15 +137,19 @@
 
 
 class ProxiedConnection:
-    """One proxied connection; ``path`` is the path of the last request on it."""
+    """One proxied connection; ``path`` is the path of the last request on it.
 
-    __slots__ = ("client", "open_directions", "path", "reset", "server")
+    A silent connection takes data and forwards none until its client closes it.
+    """
+
+    __slots__ = ("client", "open_directions", "path", "reset", "server", "silent")
 
     def __init__(self, *, client: socket.socket, server: socket.socket) -> None:
         self.client = client
         self.server = server
         self.path = ""
         self.reset = False
+        self.silent = False
         self.open_directions = 2
 
     def stop_reading(self) -> None:
@@ -167,7 +175,11 @@
 
 
 class RouteProxy:
-    """One route: its listener, its connections and its faults."""
+    """One route: its listener, its connections and its faults.
+
+    ``unexpected_requests`` holds the first bytes of each message from a client that does not begin
+    with a method; they are forwarded like a request.
+    """
 
     __slots__ = (
         "closing",
@@ -180,6 +192,7 @@
         "held",
         "listener",
         "route",
+        "unexpected_requests",
     )
 
     def __init__(self, *, route: Route, executor: ThreadPoolExecutor) -> None:
@@ -192,6 +205,7 @@
         self.fault_generation = 0
         self.held: list[HeldMessage] = []
         self.connections: set[ProxiedConnection] = set()
+        self.unexpected_requests: list[bytes] = []
         self.closing = False
         self.listener = socket.create_server(socket_address(route.listen), backlog=512)
         executor.submit(self.accept_connections)
@@ -243,23 +257,33 @@
         buffer = b""
         try:
             while data := source.recv(RECEIVE_BUFFER_BYTES):
+                if connection.silent:
+                    continue
                 buffer += data
                 while size := message_size(buffer):
                     message, buffer = buffer[:size], buffer[size:]
+                    self.check_start(direction, message)
                     self.forward_message(connection, direction, message, target)
             self.wait_until_due(connection, direction)
-            if not connection.reset:
-                target.sendall(buffer)
+            # A client must not learn that a silent connection has ended.
+            if not connection.reset and not (connection.silent and direction == RESPONSE):
+                target.sendall(b"" if connection.silent else buffer)
                 target.shutdown(socket.SHUT_WR)
         except OSError:
             self.reset_connection(connection)
         finally:
+            self.check_start(direction, buffer)
             with self.condition:
                 connection.open_directions -= 1
                 if connection.open_directions == 0:
                     connection.close()
                     self.connections.discard(connection)
 
+    def check_start(self, direction: str, message: bytes) -> None:
+        """Record a message from a client that does not begin like a request."""
+        if direction == REQUEST and message and not REQUEST_START.match(message):
+            self.unexpected_requests.append(message[:QUOTED_BYTES])
+
     def forward_message(
         self, connection: ProxiedConnection, direction: str, message: bytes, target: socket.socket
     ) -> None:
@@ -267,6 +291,8 @@
         if direction == REQUEST:
             connection.path = request_path(message)
         self.wait_until_due(connection, direction)
+        if connection.silent:
+            return
         with self.condition:
             faults = self.faults[direction]
             faulty = faults.consume(connection.path)
@@ -339,6 +365,14 @@
             self.condition.notify_all()
             connection.stop_reading()
 
+    def silence_all(self) -> int:
+        """Make all open connections silent for good, and return their number."""
+        with self.condition:
+            connections = list(self.connections)
+            for connection in connections:
+                connection.silent = True
+        return len(connections)
+
     def reset_all(self) -> int:
         """Reset all open connections and return their number."""
         with self.condition:
@@ -403,6 +437,10 @@
         """Reset the open connections of a route, or of all routes; return their number."""
         return sum(route_proxy.reset_all() for route_proxy in self.selected_proxies(route))
 
+    def silence(self, route: str | None) -> int:
+        """Make the open connections of a route silent for good; new ones work."""
+        return sum(route_proxy.silence_all() for route_proxy in self.selected_proxies(route))
+
     def state(self) -> dict[str, dict[str, int]]:
         """Return open connections and applied faults by route."""
         return {
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -21,6 +21,10 @@
 MAX_ADMITTED = 18
 
 
+# Time at which a replica's first process was born, milliseconds since the epoch.
+FIRST_BORN_MS = 1_700_000_000_000
+
+
 class Arrival:
     """A request that reached a replica; ``ran`` is false if the replica refused it."""
 
@@ -54,6 +58,8 @@
     fault : callable or None
         Called with the socket and the encoded response before it is sent; returns True to close
         the connection, so that the response is not sent.
+    holds_until_deadline : bool
+        Whether each admitted request is answered with 504 when its deadline passes.
     leaving : bool
         Whether each response announces that the replica leaves.
     quiet_s : str or None
@@ -67,8 +73,10 @@
     __slots__ = (
         "admitted",
         "arrivals",
+        "born_ms",
         "draining",
         "fault",
+        "holds_until_deadline",
         "leaving",
         "lock",
         "on_arrival",
@@ -102,6 +110,7 @@
         self.service_time_s = service_time_s
         self.draining = False
         self.leaving = False
+        self.holds_until_deadline = False
         self.quiet_s: str | None = None
         self.fault: Callable[[socket.socket, bytes], bool] | None = None
         self.unpaused = threading.Event()
@@ -109,14 +118,25 @@
         self.admitted = 0
         self.lock = threading.Lock()
         self.on_arrival = on_arrival
-        self.server = HttpServer(
+        self.born_ms = FIRST_BORN_MS
+        self.server = self.start_server(address)
+
+    def start_server(self, address: tuple[str, int]) -> HttpServer:
+        """Start to serve on an address."""
+        server = HttpServer(
             address=address,
             handler=self.respond,
             error_handler=lambda status, detail: Response(detail, status=status),
             max_connections=64,
-            name=server_id,
+            name=self.server_id,
         )
-        self.server.start()
+        server.start()
+        return server
+
+    def restart(self) -> None:
+        """Serve again after a stop, on the same address and under the same id."""
+        self.born_ms += 1000
+        self.server = self.start_server(self.server.address)
 
     @property
     def address(self) -> str:
@@ -135,7 +155,7 @@
                 "state": "draining" if self.draining else "ready",
                 "warmupLeftMs": 0,
                 "sequence": 1,
-                "born": 1_700_000_000_000,
+                "born": self.born_ms,
             }
             | changes
         )
@@ -171,6 +191,10 @@
                 refusal.headers["Retry-After"] = self.quiet_s
             return refusal
         try:
+            if self.holds_until_deadline:
+                self.record_arrival(request, deadline_ms, ran=True)
+                time.sleep(deadline_ms / 1000)
+                return Response(status=504, headers={"X-Request-Id": request_id})
             with self.slots:
                 self.record_arrival(request, deadline_ms, ran=True)
                 time.sleep(self.service_time_s)
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
 from collections.abc import Sequence
@@ -11,6 +12,7 @@
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import Site
 from rhubarbway_standins.processes import free_ports
+from rhubarbway_standins.soak.plan import shared_cores
 
 
 class Drain:
@@ -34,10 +36,13 @@
 class SoakTestbed:
     """Site, gateway processes and the proxy between them; used as a context manager.
 
-    ``cores`` gives the processor that the settings of each host state.
+    ``cores`` gives the processor that the settings of each host state. ``seed`` decides whether
+    hosts share cores.
 
     Attributes
     ----------
+    burst : threading.Event
+        Set while callers send without pauses.
     drains : list of Drain
         Periods in which servers were draining.
     published_at : dict of int to float
@@ -47,22 +52,33 @@
     """
 
     __slots__ = (
+        "bound_cores",
+        "burst",
         "drains",
         "gateways",
         "ports",
         "proxy",
         "published_at",
+        "server_lock",
         "site",
         "start_lock",
         "stop_exit_codes",
     )
 
     def __init__(
-        self, *, directory: Path, hosts: int, shards: int, cores: Sequence[float] = ()
+        self,
+        *,
+        directory: Path,
+        hosts: int,
+        shards: int,
+        cores: Sequence[float] = (),
+        seed: int = 1,
     ) -> None:
+        self.burst = threading.Event()
         self.ports = free_ports()
         self.site = Site(ports=self.ports, shards=shards)
         self.start_lock = threading.Lock()
+        self.server_lock = threading.Lock()
         self.drains: list[Drain] = []
         self.published_at: dict[int, float] = {}
         self.stop_exit_codes: list[tuple[int, int]] = []
@@ -80,12 +96,22 @@
         self.proxy = FaultProxy(routes=routes)
         for number, _ in self.numbered_replicas():
             self.register_server(number)
+        self.bound_cores = shared_cores(
+            seed=seed, hosts=hosts, cores=sorted(os.sched_getaffinity(0))
+        )
         for number, settings in enumerate(self.gateways.settings):
             settings.store = self.proxy.route_proxies[self.store_route_name(number)].route.listen
             self.gateways.processes[number] = self.gateways.make_process(settings)
 
     def __enter__(self) -> SoakTestbed:
-        self.gateways.__enter__()
+        try:
+            self.gateways.__enter__()
+        except BaseException:
+            self.__exit__()
+            raise
+        for process, core in zip(self.gateways.processes, self.bound_cores, strict=True):
+            if core is not None:
+                process.bind(core)
         return self
 
     def __exit__(self, *exception: object) -> None:
@@ -116,6 +142,14 @@
         listen = self.proxy.route_proxies[self.server_route_name(server)].route.listen
         self.site.register(self.site.replicas[server], address=listen)
 
+    def unexpected_requests(self) -> list[str]:
+        """Return what hosts have sent to servers and to the store that is no request."""
+        return [
+            f"{name}: message {number} that is no request begins with {data!r}"
+            for name, route_proxy in self.proxy.route_proxies.items()
+            for number, data in enumerate(route_proxy.unexpected_requests)
+        ]
+
     def publish_configuration(self) -> None:
         """Publish the next configuration, with a marker route that names its version."""
         document = self.site.configuration()
@@ -137,6 +171,21 @@
             if not process.is_running:
                 process.start()
 
+    def stop_server(self, server: int) -> None:
+        """End a server and delete its entry in the store."""
+        replica = self.site.replicas[server]
+        with self.server_lock:
+            replica.stop()
+            self.site.store.delete(f"servers/{replica.server_id}")
+
+    def restart_server(self, server: int) -> None:
+        """Start a server that has ended, unless the end of another fault has done so already."""
+        replica = self.site.replicas[server]
+        with self.server_lock:
+            if replica.server.stopping:
+                replica.restart()
+                self.register_server(server)
+
     def record_exit(self, host: int, code: int) -> None:
         """Record the exit code of a host that was asked to stop."""
         self.stop_exit_codes.append((host, code))
--- a/src/rhubarbway_standins/tests/test_fault_proxy.py
+++ b/src/rhubarbway_standins/tests/test_fault_proxy.py
@@ -18,7 +18,14 @@
     reused_numbers,
     touched,
 )
-from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE, FaultProxy, Route
+from rhubarbway_standins.fault_proxy import (
+    QUOTED_BYTES,
+    REQUEST,
+    RESPONSE,
+    FaultProxy,
+    Route,
+    socket_address,
+)
 from rhubarbway_standins.processes import Fleet, call_json, free_ports
 
 PORTS = free_ports()
@@ -161,6 +168,20 @@
         assert proxy.cut("echo") == 1
 
 
+class TestSilence:
+    def test_an_open_connection_goes_silent_and_a_new_one_works(self, proxy, connections, echo):
+        """Guards against a silenced connection that forwards data or ends, and against one that
+        silences later connections."""
+        connections[0].call("POST", "/", b"a", timeout_s=2.0)
+        assert proxy.silence("echo") == 1
+        started_at = time.monotonic()
+        with pytest.raises(CallError):
+            connections[0].call("POST", "/", b"b", timeout_s=0.3)
+        assert time.monotonic() - started_at >= 0.3
+        assert connections[1].call("POST", "/", b"c", timeout_s=2.0).body == b"c"
+        assert echo.received == [b"a", b"c"]
+
+
 class TestProxyProcess:
     def test_routes_of_a_fleet_are_controlled_over_http(self, echo, tmp_path):
         """Guards against a control endpoint that ignores faults, keeps cleared faults, or accepts
@@ -219,3 +240,22 @@
         assert route_proxy.listener.fileno() == -1
         with pytest.raises(OSError):
             socket.create_connection(("127.0.0.1", int(listen.rpartition(":")[2])), timeout=1.0)
+
+
+class TestUnexpectedRequests:
+    @pytest.mark.parametrize("ending", [b"", b"\r\n\r\n"])
+    def test_the_start_of_a_message_that_is_no_request_is_recorded(self, proxy, ending):
+        """Guards against forwarding foreign bytes in front of a request without a record."""
+        route_proxy = proxy.route_proxies["echo"]
+        message = b"\x01" + bytes(7) + b"POST / HTTP/1.1" + ending
+        with socket.create_connection(socket_address(route_proxy.route.listen)) as client:
+            client.sendall(message)
+            client.shutdown(socket.SHUT_WR)
+            while client.recv(1024):
+                pass
+        assert route_proxy.unexpected_requests == [message[:QUOTED_BYTES]]
+
+    def test_requests_are_not_recorded(self, proxy, connections):
+        """Guards against a report about requests, also those whose body has other bytes."""
+        assert connections[0].call("POST", "/", b"\x01\x00", timeout_s=2.0).status == 200
+        assert proxy.route_proxies["echo"].unexpected_requests == []
