Stop the tasks of a test fixture whose first request fails

A fixture that failed at its first request left its pool, proxy and server running, and pytest did not end after its summary: the process still ran 330 s later and was ended by hand. The failure itself (connect_failed, once beside load) is not traced.

--- a/src/rhubarbway/services/tests/test_replica_pool.py
+++ b/src/rhubarbway/services/tests/test_replica_pool.py
@@ -120,9 +120,11 @@
 @pytest.fixture
 def harness(tmp_path):
     running = PoolHarness(directory=tmp_path)
-    assert running.run().kind is OutcomeKind.ANSWERED
-    yield running
-    running.stop()
+    try:
+        assert running.run().kind is OutcomeKind.ANSWERED
+        yield running
+    finally:
+        running.stop()
 
 
 class TestOutcomes:
