Split the choice of servers, arrival checks and log lines out of the request forwarder

The settings state memory, descriptors, and the bounds of evacuations and of cold servers; the routing table states the rate that a cold server tolerates. Nothing uses these yet.

--- a/src/rhubarbway/model/route.py
+++ b/src/rhubarbway/model/route.py
@@ -129,9 +129,19 @@
         Limits on the requests of callers.
     document : bytes
         Encoded configuration that the table was decoded from, as other entry hosts receive it.
+    warm_up_rates : mapping of str to float
+        Requests that one cold replica of a service tolerates per second, by service. Services
+        without a limit are missing.
     """
 
-    __slots__ = ("document", "limits", "max_connections", "routes", "version")
+    __slots__ = (
+        "document",
+        "limits",
+        "max_connections",
+        "routes",
+        "version",
+        "warm_up_rates",
+    )
 
     def __init__(
         self,
@@ -141,7 +151,9 @@
         max_connections: Mapping[str, int],
         limits: CallerLimits,
         document: bytes = b"",
+        warm_up_rates: Mapping[str, float] | None = None,
     ) -> None:
+        self.warm_up_rates = warm_up_rates or {}
         self.version = version
         self.routes = routes
         self.max_connections = max_connections
--- a/src/rhubarbway/platform/configuration.py
+++ b/src/rhubarbway/platform/configuration.py
@@ -61,10 +61,14 @@
 
 
 class WireService(msgspec.Struct, rename="camel"):
-    """One service; ``max_connections`` is the limit of each replica, over all its clients."""
+    """One service; ``max_connections`` is the limit of each replica, over all its clients.
+
+    ``warmup_per_s`` is the rate of requests that a cold replica tolerates; 0 sets no limit.
+    """
 
     name: NonEmptyString
     max_connections: PositiveInteger
+    warmup_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 0.0
 
 
 class WireLimits(msgspec.Struct, rename="camel"):
@@ -111,6 +115,11 @@
         max_connections={service.name: service.max_connections for service in wire.services},
         limits=limits,
         document=document,
+        warm_up_rates={
+            service.name: service.warmup_per_s
+            for service in wire.services
+            if service.warmup_per_s > 0.0
+        },
     )
     return Success(table)
 
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -7,15 +7,7 @@
     late_answer_deadline,
     target_deadline,
 )
-from rhubarbway.decisions.availability import earliest_free_at, possible_at
-from rhubarbway.decisions.forward_answers import (
-    RETRY_AFTER_S,
-    failed_answer,
-    merge_replies,
-    refusal,
-    relay_reply,
-)
-from rhubarbway.decisions.server_state import ranked_states
+from rhubarbway.decisions.forward_answers import failed_answer, merge_replies, relay_reply
 from rhubarbway.decisions.shard_shedding import select_shed_shards
 from rhubarbway.model import (
     UNDELIVERED_ENDS,
@@ -26,32 +18,18 @@
     ForwardedRequest,
     Route,
 )
+from rhubarbway.services.arrival_checks import refusal_for_lack_of_servers
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forwarding_context import ForwardingContext
+from rhubarbway.services.forwarding_log import log_decision, slowest_shards
 from rhubarbway.services.server_attempt import ServerAttempt
+from rhubarbway.services.server_choice import expected_latency_s, ranked_pools
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shard_progress import ShardProgress
 
 # Extra attempts that a hedge must leave in the retry budget, so that hedges for slow servers do not
 # use up the retries that lost requests need.
 RETRY_RESERVE = 1.0
-# For the ranking, the expected latency of each server is multiplied by a random factor from 1 to
-# 1 + RANK_JITTER. It keeps hosts with the same information from all choosing the same server.
-RANK_JITTER = 0.1
-# Round trip to another zone, seconds. The zones in use are 3 to 4.4 ms apart, one way.
-CROSS_ZONE_ROUND_TRIP_S = 0.009
-# Added to the expected latency of a server in another zone for the ranking, seconds: the round
-# trip, and about as much again for the price of traffic between zones.
-CROSS_ZONE_COST_S = 0.02
-# Time to open a connection to a server, seconds: about 6 ms until the server has accepted it, a
-# round trip and the processor time of this host.
-CONNECT_TIME_S = 0.01
-# Added to the expected latency of a server without an idle connection for the ranking, seconds: the
-# time to open one, and about as much again for its price. A host of a large fleet, which gets a
-# query every few seconds, therefore keeps to the servers that it has used before.
-CONNECT_COST_S = 0.02
-# Number of the slowest shards that the log line of an answer names.
-SLOWEST_SHARDS_LOGGED = 2
 
 
 class RequestForwarder:
@@ -135,7 +113,7 @@
 
     def run(self) -> ForwardedAnswer | None:
         """Forward the request and return the answer, or None if the caller has disconnected."""
-        refused = self.refusal_for_lack_of_servers()
+        refused = refusal_for_lack_of_servers(self.context, self.route, self.shards)
         if refused is not None:
             return refused
         self.send_first_attempts()
@@ -157,34 +135,6 @@
                 self.send_hedges(now)
         return self.build_answer()
 
-    def can_answer(self, shard_count: int) -> bool:
-        """Whether replies of this many shards make an answer."""
-        if not self.is_fan_out:
-            return shard_count > 0
-        return has_required_coverage(self.route, shard_count)
-
-    def refusal_for_lack_of_servers(self) -> ForwardedAnswer | None:
-        """Return a refusal if too few shards have a server that takes requests now, else None.
-
-        It names the time at which enough of them do, if that is known: when servers that asked for
-        no requests want them again.
-        """
-        now = self.context.clock()
-        free_at = [
-            earliest_free_at(pool.state for pool in self.context.pools_of(service))
-            for service in self.shards
-        ]
-        instant = possible_at(free_at, is_enough=self.can_answer)
-        if instant <= now:
-            return None
-        if instant == float("inf"):
-            return refusal("too few servers are known", random=self.context.random)
-        return refusal(
-            "too many servers have asked for no requests",
-            random=self.context.random,
-            retry_after_s=max(RETRY_AFTER_S, instant - now),
-        )
-
     def pending_shards(self) -> list[ShardProgress]:
         """Return the shards that may still reply."""
         return [shard for shard in self.shards.values() if shard.is_pending]
@@ -227,38 +177,18 @@
         return min(at, self.target_deadline) if self.is_fan_out and not self.missed_target else at
 
     def ranked_pools(self, shard: ShardProgress, now: float) -> list[ServerPool]:
-        """Return the untried pools of a shard by increasing expected latency, ejected ones last.
-
-        Pools of servers that want no requests now are left out.
-        """
-        pools = {
-            pool.server.id: pool
-            for pool in self.context.pools_of(shard.service)
-            if pool.server.id not in shard.tried_servers and pool.state.accepts_requests(now)
-        }
-        jitter = {key: 1.0 + RANK_JITTER * self.context.random.random() for key in pools}
-        ranked = ranked_states(
-            [pool.state for pool in pools.values()],
-            zone=self.context.zone,
+        """Return the untried pools of a shard, the one to use first, ejected ones last."""
+        return ranked_pools(
+            self.context,
+            shard.service,
+            tried_servers=shard.tried_servers,
             typical_s=self.typical_s,
-            cross_zone_cost_s=CROSS_ZONE_COST_S,
-            connect_cost_s=CONNECT_COST_S,
             now=now,
-            jitter=jitter,
         )
-        return [pools[state.server.id] for state in ranked]
 
     def expected_latency_s(self, pool: ServerPool, now: float) -> float:
         """Return the expected latency of a request sent to a server now, seconds."""
-        cross_zone_cost_s = (
-            0.0 if pool.server.zone == self.context.zone else CROSS_ZONE_ROUND_TRIP_S
-        )
-        return pool.state.expected_latency_s(
-            typical_s=self.typical_s,
-            cross_zone_cost_s=cross_zone_cost_s,
-            connect_cost_s=CONNECT_TIME_S,
-            now=now,
-        )
+        return expected_latency_s(self.context, pool, typical_s=self.typical_s, now=now)
 
     def send_first_attempts(self) -> None:
         """Send the first attempt to each shard, unless it is overloaded or has no server in use."""
@@ -509,43 +439,15 @@
                 ran = ExecutionStatus.UNKNOWN
         self.cancel_all_attempts()
         timed_out = self.context.clock() >= self.wait_deadline()
-        refused = self.refusal_for_lack_of_servers() if ran is ExecutionStatus.NOT_RUN else None
+        refused = None
+        if ran is ExecutionStatus.NOT_RUN:
+            refused = refusal_for_lack_of_servers(self.context, self.route, self.shards)
         return refused or failed_answer(ran=ran, timed_out=timed_out, random=self.context.random)
 
     def slowest_shards(self) -> list[dict[str, object]]:
         """Describe the shards that replied last or not at all, for the log."""
-        received_at = self.request.received_at
-        shards = sorted(self.shards.values(), key=lambda shard: shard.replied_at, reverse=True)
-        return [
-            {
-                "service": shard.service,
-                "reply_ms": milliseconds(shard.replied_at - received_at),
-                "sent": [
-                    [server, milliseconds(at - received_at)] for server, at in shard.attempt_log
-                ],
-            }
-            for shard in shards[:SLOWEST_SHARDS_LOGGED]
-        ]
+        return slowest_shards(self.shards.values(), received_at=self.request.received_at)
 
     def log_decision(self, event: str, shard: ShardProgress, **details) -> None:
-        """Log a decision about a shard with the fields that all such lines share."""
-        self.context.log.info(
-            event,
-            request_id=self.request.request_id,
-            route=self.route.name,
-            service=shard.service,
-            sent=shard.sent_count,
-            age_ms=round((self.context.clock() - self.request.received_at) * 1000),
-            **details,
-        )
-
-
-def milliseconds(seconds: float) -> int | None:
-    """Convert seconds to whole milliseconds; infinity becomes None.
-
-    Examples
-    --------
-    >>> milliseconds(0.25), milliseconds(float("inf"))
-    (250, None)
-    """
-    return None if seconds == float("inf") else round(seconds * 1000)
+        """Log a decision about a shard."""
+        log_decision(self.context, self.request, self.route, event, shard, **details)
--- a/src/rhubarbway/settings/gateway.py
+++ b/src/rhubarbway/settings/gateway.py
@@ -53,18 +53,32 @@
     cpu_share, cpu_speed : float
         Processor of the host: its share of a core, and the speed of that core as a multiple of the
         speed of a usual one. Their product decides which hosts run wide fan-outs.
+    memory_mb : float
+        Memory that the process may use, megabytes of 2**20 bytes; 0 if it is not limited.
+    max_descriptors : int
+        File descriptors that the process may use; 0 if they are not limited.
+    evacuate_ms : float
+        Time after the store has confirmed the evacuation of a zone within which no request may
+        reach the servers of the zone any more, milliseconds; 0 if no zone is evacuated.
+    warm_up_overshoot, warm_up_slack : float
+        Limit of the requests that all entry hosts together send to a cold server in any second:
+        the rate that the configuration states for its service, times ``warm_up_overshoot``, plus
+        ``warm_up_slack``.
     """
 
     __slots__ = (
         "config_apply_ms",
         "cpu_share",
         "cpu_speed",
+        "evacuate_ms",
         "first_start",
         "grace_s",
         "leave_notice_s",
         "listen",
         "log_level",
         "max_connections",
+        "max_descriptors",
+        "memory_mb",
         "metrics_port",
         "name",
         "peer_listen",
@@ -74,6 +88,8 @@
         "retry_window_s",
         "seeds",
         "store",
+        "warm_up_overshoot",
+        "warm_up_slack",
         "zone",
     )
 
@@ -99,7 +115,17 @@
         max_connections: int = 512,
         cpu_share: float = 1.0,
         cpu_speed: float = 1.0,
+        memory_mb: float = 0.0,
+        max_descriptors: int = 0,
+        evacuate_ms: float = 0.0,
+        warm_up_overshoot: float = 1.0,
+        warm_up_slack: float = 0.0,
     ) -> None:
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
+        self.evacuate_ms = evacuate_ms
+        self.warm_up_overshoot = warm_up_overshoot
+        self.warm_up_slack = warm_up_slack
         self.config_apply_ms = config_apply_ms
         self.cpu_share = cpu_share
         self.cpu_speed = cpu_speed
