--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -14,8 +14,9 @@
 import time
 from collections.abc import Sequence
 
-from rhubarbway.edge.addresses import format_address, parse_address
-from rhubarbway.edge.http_client import (
+from rhubarbway.edge.addresses import parse_address
+from rhubarbway.edge.http_call import (
+    KEEPALIVE_OPTIONS,
     CallError,
     Reply,
     UnexpectedDataListener,
@@ -54,6 +55,8 @@
     ----------
     address : str
         ``HOST:PORT``.
+    keepalive_probes : bool
+        Whether TCP keepalive probes detect a peer that disappears during a long wait for a reply.
     report_mismatch : callable
         Called when a connection closes that carries more bytes than were sent on it.
     on_unexpected_data : callable
@@ -66,10 +69,13 @@
         "address",
         "call_number",
         "deadline",
+        "endpoint",
+        "keepalive_probes",
         "lock",
         "on_unexpected_data",
         "poll",
         "report_mismatch",
+        "reused",
         "sent",
         "sent_bytes",
         "sock",
@@ -79,10 +85,15 @@
         self,
         *,
         address: str,
+        keepalive_probes: bool = False,
         report_mismatch: ReportMismatch = ignore_mismatch,
         on_unexpected_data: UnexpectedDataListener = ignore_unexpected_data,
     ) -> None:
-        self.address = parse_address(address)
+        self.keepalive_probes = keepalive_probes
+        # Whether the last call began on a connection that was open already.
+        self.reused = False
+        self.address = address
+        self.endpoint = parse_address(address)
         self.report_mismatch = report_mismatch
         self.on_unexpected_data = on_unexpected_data
         self.sent_bytes = SentBytes(connected=True)
@@ -172,7 +183,7 @@
         if not reader.reusable or reader.request_incomplete:
             self.disconnect()
         if reader.trailing_data:
-            self.on_unexpected_data(format_address(self.address))
+            self.on_unexpected_data(self.address)
         return reader.reply()
 
     def disconnect_with_error(self, error: Exception) -> CallError:
@@ -208,18 +219,21 @@
                 self.close_socket()
             if self.aborted_call == self.call_number:
                 raise ConnectionAbortedError("cancelled")
+            self.reused = sock is not None
             if sock is not None:
                 return sock
             sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self.sent_bytes = SentBytes(connected=True)
         if unexpected:
-            self.on_unexpected_data(format_address(self.address))
+            self.on_unexpected_data(self.address)
         remaining_s = self.deadline - time.monotonic()
         if connect_timeout_s is not None:
             remaining_s = min(remaining_s, connect_timeout_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for level, option, value in KEEPALIVE_OPTIONS if self.keepalive_probes else ():
+            sock.setsockopt(level, option, value)
         sock.settimeout(max(0.001, remaining_s))
-        sock.connect(self.address)
+        sock.connect(self.endpoint)
         if self.aborted_call == self.call_number:
             raise ConnectionAbortedError("cancelled")
         sock.setblocking(False)
@@ -328,7 +342,7 @@
         if sock is not None:
             with contextlib.suppress(KeyError):
                 self.poll.unregister(sock)
-            self.sent_bytes.compare(sock, format_address(self.address), self.report_mismatch)
+            self.sent_bytes.compare(sock, self.address, self.report_mismatch)
             sock.close()
 
 
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from rhubarbway.edge.http_client import (
+from rhubarbway.edge.http_call import (
     HEAD_LIMIT_BYTES,
     REPLY_LIMIT_BYTES,
     Reply,
--- a/src/rhubarbway/platform/delegated_requests.py
+++ b/src/rhubarbway/platform/delegated_requests.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Mapping
 
-from rhubarbway.edge.http_client import Reply
+from rhubarbway.edge.http_call import Reply
 from rhubarbway.model import BackendServer, ExecutionStatus, ForwardedRequest, ReplicaReply
 from rhubarbway.platform.headers import (
     DEADLINE_MS,
--- a/src/rhubarbway/platform/replicas.py
+++ b/src/rhubarbway/platform/replicas.py
@@ -4,7 +4,7 @@
 
 import math
 
-from rhubarbway.edge.http_client import Reply
+from rhubarbway.edge.http_call import Reply
 from rhubarbway.model import (
     BackendServer,
     ExecutionStatus,
--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -13,9 +13,9 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from rhubarbway.edge.http_client import (
+from rhubarbway.edge.exchange_connection import ExchangeConnection
+from rhubarbway.edge.http_call import (
     CallError,
-    HttpConnection,
     UnexpectedDataListener,
     ignore_unexpected_data,
 )
@@ -129,7 +129,7 @@
     def __init__(
         self, *, address: str, on_unexpected_data: UnexpectedDataListener = ignore_unexpected_data
     ) -> None:
-        self.connection = HttpConnection(
+        self.connection = ExchangeConnection(
             address=address, keepalive_probes=True, on_unexpected_data=on_unexpected_data
         )
 
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -22,7 +22,8 @@
 from rhubarbway.decisions.fleet_view import FleetMember, FleetView
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.addresses import parse_address
-from rhubarbway.edge.http_client import CallError, HttpConnection
+from rhubarbway.edge.exchange_connection import ExchangeConnection
+from rhubarbway.edge.http_call import CallError
 from rhubarbway.edge.http_server import (
     BODY_LIMIT_BYTES,
     IDLE_TIMEOUT_S,
@@ -249,7 +250,7 @@
         The first one waits at the host for changes. The others ask at intervals for what did not
         arrive that way, so that a change is sent to a follower once.
         """
-        connection: HttpConnection | None = None
+        connection: ExchangeConnection | None = None
         source, after = "", 0
         seed_index = slot
         # Hosts that start together do not all query their seeds at the same time.
@@ -262,8 +263,7 @@
             if connection is None or connection.address != address:
                 if connection is not None:
                     connection.disconnect()
-                    connection.close()
-                connection = HttpConnection(
+                connection = ExchangeConnection(
                     address=address,
                     keepalive_probes=True,
                     on_unexpected_data=partial(self.report_unexpected_data, "host"),
@@ -305,7 +305,7 @@
 
     def poll_feed(
         self,
-        connection: HttpConnection,
+        connection: ExchangeConnection,
         *,
         source: str,
         after: int,
@@ -317,7 +317,7 @@
 
         Parameters
         ----------
-        connection : HttpConnection
+        connection : ExchangeConnection
             Connection to the host.
         source : str
             Incarnation of the host when it sent ``after``; empty for a first request.
@@ -395,7 +395,7 @@
 
     def query_once(self, address: str, *, members_only: bool) -> None:
         """Query a host on a connection of its own, without waiting for a change."""
-        connection = HttpConnection(address=address)
+        connection = ExchangeConnection(address=address)
         try:
             self.apply_reply(
                 self.poll_feed(
@@ -411,7 +411,6 @@
             self.record_failure(connection.address, error)
         finally:
             connection.disconnect()
-            connection.close()
 
     def apply_reply(self, reply: feed_wire.FeedReply) -> None:
         """Apply the reply of a followed host or seed."""
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -12,7 +12,7 @@
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
 from rhubarbway.edge.exchange_connection import ExchangeConnection
-from rhubarbway.edge.http_client import (
+from rhubarbway.edge.http_call import (
     CallError,
     Reply,
     UnexpectedDataListener,
