Split the deferral of deletions and the reading of the store out of the registry

Change: decisions.deferred_deletions decides which deletions wait and for how long, and services.store_reader owns the task that reads the store; behaviour and log lines stay as they were. The tests address the same functions on their new owners.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -12,11 +12,12 @@
 
 from proofs.gateway_fleet import GatewayFleet, wait_until
 from rhubarbway.decisions.copy_freshness import CONFIRMATION_FRACTION
+from rhubarbway.decisions.deferred_deletions import LAPSE_GRACE_S
 from rhubarbway.decisions.fleet_view import STORE_READER_COUNT
 from rhubarbway.gateway import build_kernel
-from rhubarbway.services import registry
 from rhubarbway.services.gateway import GRACE_FRACTION
 from rhubarbway.services.names import FLEET, FORWARDING, REGISTRY, SERVERS
+from rhubarbway.services.store_reader import WATCH_WAIT_S
 from rhubarbway_standins.platform.consumer import (
     merged_answer_problem,
     send_once,
@@ -287,7 +288,7 @@
         waited.
         """
         fleet.site.store.set_mode(StoreMode.SILENT)
-        time.sleep(registry.WATCH_WAIT_S)
+        time.sleep(WATCH_WAIT_S)
         fleet.site.store.set_mode(StoreMode.UP)
         fleet.site.publish(fleet.site.configuration())
         for number in range(2):
@@ -352,7 +353,7 @@
         assert send_search(fleet, "j1")[1] is None
         for replica in fleet.site.replicas:
             fleet.site.register(replica)
-        time.sleep(registry.LAPSE_GRACE_S)
+        time.sleep(LAPSE_GRACE_S)
         assert send_search(fleet, "j2")[1] is None
 
 
@@ -393,9 +394,9 @@
         """Guards against a store that has to serve the watches of all hosts."""
         with GatewayFleet(hosts=5) as fleet:
             before = fleet.site.store.calls
-            time.sleep(2 * registry.WATCH_WAIT_S)
+            time.sleep(2 * WATCH_WAIT_S)
             # Each reader has one more watch than fits into this time, open at either end of it.
-            confirmations = 2 * registry.WATCH_WAIT_S / (CONFIRMATION_FRACTION * APPLY_LIMIT_S)
+            confirmations = 2 * WATCH_WAIT_S / (CONFIRMATION_FRACTION * APPLY_LIMIT_S)
             expected = 3 * (STORE_READER_COUNT - 1) + confirmations + 1
             assert fleet.site.store.calls - before <= expected
 
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -57,12 +57,14 @@
     ROUTING,
     SERVERS,
     SETTINGS,
+    STORE_READER,
 )
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.server_pool import ServerCodec
 from rhubarbway.services.servers import ServerService
 from rhubarbway.services.settings_reload import SettingsReload
+from rhubarbway.services.store_reader import StoreReader
 from rhubarbway.services.unexpected_data import unexpected_data_reporter
 from rhubarbway.settings import GatewaySettings, gateway_settings_from_bytes
 
@@ -125,11 +127,14 @@
     )
     registry = kernel.register(
         REGISTRY,
-        RegistryService(
+        RegistryService(apply_limit_s=settings.config_apply_ms / 1000),
+    )
+    kernel.register(
+        STORE_READER,
+        StoreReader(
             make_client=lambda: StoreClient(
                 address=settings.store, on_unexpected_data=partial(report_unexpected_data, "store")
-            ),
-            apply_limit_s=settings.config_apply_ms / 1000,
+            )
         ),
     )
     registry.invalid_item_listeners.append(metrics.count_invalid_item)
--- a/src/rhubarbway/platform/tests/test_store.py
+++ b/src/rhubarbway/platform/tests/test_store.py
@@ -44,7 +44,7 @@
         return response(json.dumps({"events": events, "atRev": revision}).encode())
 
     def listed(self):
-        """List the store as ``RegistryService`` does; return the keys."""
+        """List the store as ``StoreReader`` does; return the keys."""
         keys, after, more = [], "", True
         while more:
             page = self.client.list_items("", after_key=after)
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -29,6 +29,7 @@
     from rhubarbway.services.servers import ServerService
     from rhubarbway.services.settings_reload import SettingsReload
     from rhubarbway.services.slices import SliceService
+    from rhubarbway.services.store_reader import StoreReader
     from rhubarbway.services.tokens import TokenService
 
 LOG: ServiceKey[LogService] = ServiceKey("log")
@@ -46,6 +47,7 @@
 ROUTING: ServiceKey[RoutingService] = ServiceKey("routing")
 SERVERS: ServiceKey[ServerService] = ServiceKey("servers")
 REGISTRY: ServiceKey[RegistryService] = ServiceKey("registry")
+STORE_READER: ServiceKey[StoreReader] = ServiceKey("store_reader")
 FORWARDING: ServiceKey[ForwardingService] = ServiceKey("forwarding")
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 DELEGATION: ServiceKey[DelegationService] = ServiceKey("delegation")
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -1,75 +1,29 @@
 """Copy of the platform's store: the configuration and the entries of backend servers.
 
-A few hosts, the readers, read the store; every host serves its copy to its followers.
+A few hosts, the readers, read the store (``services.store_reader``); every host serves its copy to
+its followers.
 """
 
 from __future__ import annotations
 
 import threading
 import time
-from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from random import Random
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Sequence
 
 from returns.result import Success
 
-from rhubarbway.decisions.copy_freshness import (
-    CONFIRMATION_FRACTION,
-    RELAY_FRACTION,
-    is_stale,
-)
-from rhubarbway.decisions.store_contact import (
-    NEXT_CONTACT,
-    CallEnd,
-    StoreContact,
-    ends_outage,
-)
+from rhubarbway.decisions.copy_freshness import RELAY_FRACTION, is_stale
+from rhubarbway.decisions.deferred_deletions import DeferredDeletions, is_mass_deletion
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
 from rhubarbway.platform.configuration import CONFIGURATION_KEY, routing_table_from_json
 from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
-from rhubarbway.platform.store import StoreClient, StoreError, StoreProblem
 from rhubarbway.services.log import component_logger
-from rhubarbway.services.names import FLEET, ROUTING, SERVERS
+from rhubarbway.services.names import ROUTING, SERVERS
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.servers import ServerService
 
-if TYPE_CHECKING:
-    from rhubarbway.services.fleet import FleetService
-
-# Longest wait of a watch for a change, seconds. Longer waits save calls, each of which is charged
-# for. The first reader waits less, so that the store confirms the copies often enough to tell stale
-# ones apart. A connection may go silent just before a server is removed, which must be known 3 s
-# later: by then ``BATCH_DELAY_S`` and a watch with its margin must be over, and the next call must
-# have been answered.
-WATCH_WAIT_S = 1.8
-# Wait of a watch while the store has not answered recently, seconds. It asks for a reply at once,
-# so that a store that answers new connections is told from one that is away.
-PROBE_WAIT_S = 0.01
-# Time after an answer of the store during which watches wait for ``WATCH_WAIT_S``, seconds.
-RECENT_ANSWER_S = WATCH_WAIT_S + 2.0
-# Delay after a watch with changes, seconds. Changes come in groups, and each watch is charged for.
-BATCH_DELAY_S = 0.3
-# Time for which deletions are deferred after an outage or a mass deletion, seconds. Entries that
-# lapsed during an outage are written again within about 2 s of the store's return.
-LAPSE_GRACE_S = 2.2
-# If at least this number and this fraction of the servers that do not drain are deleted at once,
-# their entries are assumed to have lapsed in an outage between two calls. Servers that leave
-# unannounced when an index is replaced are a smaller fraction.
-MIN_LAPSED_ENTRIES = 4
-MIN_LAPSED_FRACTION = 0.4
-# Delay after a failed call, seconds; it doubles with each failure up to the maximum.
-INITIAL_RETRY_DELAY_S = 0.1
-MAX_RETRY_DELAY_S = 1.0
-# Time for which a host that could not reach the store, and no longer reads it, is not chosen as a
-# reader, seconds. Other hosts are tried meanwhile.
-BLINDNESS_S = 10.0
-# Interval at which a host checks whether it has become a reader, seconds.
-ROLE_CHECK_INTERVAL_S = 0.1
-# Interval of that check while the host has no copy and callers may wait, seconds.
-START_CHECK_INTERVAL_S = 0.02
 # Number of keys with invalid values whose problem is remembered, so that it is logged only once.
 MAX_REPORTED_KEYS = 1024
 # Shortest interval between two replies to waiting followers that carry no change, seconds.
@@ -133,7 +87,7 @@
 
 
 class RegistryService:
-    """Holds the copy of the store, and reads the store while this host is a reader.
+    """Holds the copy of the store, and puts what changes in it into force.
 
     Attributes
     ----------
@@ -153,35 +107,22 @@
         "confirmation_listeners",
         "confirmed_at",
         "confirmation_relayed",
-        "contact",
         "copy_is_stale",
         "condition",
-        "client",
         "complete",
-        "defer_deletions_until",
-        "deferred_deletions",
-        "executor",
-        "fleet",
+        "deferral",
         "follower_waits_ended",
         "followers_woken_at",
         "invalid_item_listeners",
         "log",
-        "make_client",
-        "random",
         "read_revision",
         "reported_problems",
         "routing",
         "servers",
-        "stopping",
-        "store_answered_at",
-        "store_failed_at",
         "store_copy",
     )
 
-    def __init__(
-        self, *, make_client: Callable[[], StoreClient], apply_limit_s: float = 3.0
-    ) -> None:
-        self.make_client = make_client
+    def __init__(self, *, apply_limit_s: float = 3.0) -> None:
         # Time within which a change of the store must be in force here, seconds.
         self.apply_limit_s = apply_limit_s
         self.confirmed_at = float("-inf")
@@ -191,128 +132,31 @@
         self.copy_is_stale = False
         # Called with the age of each new confirmation, seconds.
         self.confirmation_listeners: list[Callable[[float], None]] = []
-        self.client = make_client()
         self.store_copy = StoreCopy()
         self.condition = threading.Condition()
         self.complete = False
-        # When the store last answered this host; -inf if the last call failed.
-        self.store_answered_at = float("-inf")
-        # When a call of this host to the store last failed.
-        self.store_failed_at = float("-inf")
         # Whether followers are answered without waiting for a change.
         self.follower_waits_ended = False
         # When waiting followers were last answered without a change.
         self.followers_woken_at = float("-inf")
-        # What the calls of this host have shown of the store.
-        self.contact = StoreContact.IN_DOUBT
         # The copy and the deferred deletions contain all changes up to this revision of the store.
         self.read_revision = 0
-        # Deferred deletions by key, and the instant at which the deferral of all of them ends. The
-        # end of another outage or another mass deletion moves it.
-        self.deferred_deletions: dict[str, StoreItem] = {}
-        self.defer_deletions_until = float("-inf")
+        self.deferral = DeferredDeletions()
         # Called with the kind of each value that cannot be used: ``server`` or ``configuration``.
         self.invalid_item_listeners: list[Callable[..., None]] = []
         # By key, the problem of its value that was logged last.
         self.reported_problems: dict[str, str] = {}
-        self.random = Random()
-        self.stopping = threading.Event()
-        self.executor = ThreadPoolExecutor(1, thread_name_prefix="registry")
         self.log = component_logger("registry")
-        self.fleet: FleetService
         self.routing: RoutingService
         self.servers: ServerService
 
     def start(self, kernel: Kernel) -> None:
-        """Start the task that reads the store."""
-        self.fleet = kernel.find(FLEET)
+        """Find the services that apply what changes in the copy."""
         self.routing = kernel.find(ROUTING)
         self.servers = kernel.find(SERVERS)
-        self.executor.submit(self.read_store)
 
     def stop(self) -> None:
-        """End the task that reads the store."""
-        self.stopping.set()
-        self.client.abort()
-        self.executor.shutdown(wait=False)
-
-    def read_store(self) -> None:
-        """Task: while this host is a reader, watch the store from the revision of the copy."""
-        retry_delay_s = INITIAL_RETRY_DELAY_S
-        history_gone = False
-        while not self.stopping.is_set():
-            began_at = time.monotonic()
-            was_answering = self.contact is StoreContact.ANSWERING
-            self.report_copy_age()
-            if not self.fleet.is_reader(has_copy=self.complete, copy_age_s=self.copy_age_s()):
-                self.forget_blindness()
-                self.stopping.wait(
-                    ROLE_CHECK_INTERVAL_S if self.complete else START_CHECK_INTERVAL_S
-                )
-                continue
-            try:
-                if not self.complete or history_gone:
-                    self.list_store()
-                    history_gone = False
-                else:
-                    self.watch_store()
-                self.record_store_answer()
-                # Connections that are lost after one answer each keep the longer delay.
-                if was_answering:
-                    retry_delay_s = INITIAL_RETRY_DELAY_S
-            except StoreError as error:
-                history_gone = history_gone or error.problem is StoreProblem.HISTORY_GONE
-                if error.problem is StoreProblem.HISTORY_GONE:
-                    self.log.info(
-                        "Store no longer keeps the required changes.",
-                        after=self.watch_start(),
-                    )
-                    continue
-                self.record_store_failure(error)
-                delay_s = retry_delay_s * (0.5 + self.random.random())
-                if self.contact is StoreContact.IN_DOUBT:
-                    # Counted from the call that was lost: after a timeout the next one is due.
-                    delay_s -= time.monotonic() - began_at
-                self.stopping.wait(max(0.0, delay_s))
-                retry_delay_s = min(2 * retry_delay_s, MAX_RETRY_DELAY_S)
-            except Exception:
-                self.log.exception("Reading the store failed.")
-                self.stopping.wait(MAX_RETRY_DELAY_S)
-
-    def list_store(self) -> None:
-        """Read all items of the store, page by page, and apply them."""
-        # The pages are no snapshot, so the copy is complete only up to the revision of the first
-        # page; a watch from there repeats later changes.
-        first_revision = 0
-        after = ""
-        items: list[StoreItem] = []
-        more = True
-        while more:
-            page = self.client.list_items("", after_key=after)
-            first_revision = first_revision or page.revision
-            items += page.items
-            after = page.items[-1].key if page.items else ""
-            more = page.has_more and bool(page.items)
-        self.log.info("Store listed.", revision=first_revision, items=len(items))
-        # Recorded before the list is applied: the answer may end an outage, in which case items
-        # that the list lacks may have lapsed during it.
-        self.record_store_answer()
-        self.apply_store_changes(items, revision=first_revision, whole=True)
-
-    def watch_store(self) -> None:
-        """Wait for changes of the store and apply them."""
-        answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
-        wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
-        if self.fleet.is_first_reader():
-            wait_s = min(wait_s, CONFIRMATION_FRACTION * self.apply_limit_s)
-        if self.deferred_deletions and answered_recently:
-            # Ends the watch when the deferral ends, since the deletions are applied after a watch.
-            wait_s = max(0.1, min(wait_s, self.defer_deletions_until - time.monotonic()))
-        page = self.client.watch("", after_revision=self.watch_start(), wait_s=wait_s)
-        self.record_store_answer()
-        self.apply_store_changes(page.items, revision=page.revision, whole=False)
-        if page.items:
-            self.stopping.wait(BATCH_DELAY_S)
+        """End; the fleet service has already answered the waiting followers."""
 
     def watch_start(self) -> int:
         """Return the revision after which this host has to read the store.
@@ -400,14 +244,9 @@
             complete=True,
             source="store",
             confirmed_at=time.monotonic(),
-            settled_revision=0 if self.deferred_deletions else revision,
+            settled_revision=0 if self.deferral.deletions else revision,
         )
 
-    def forget_blindness(self) -> None:
-        """Let a host that no longer reads the store be chosen as a reader again after some time."""
-        if time.monotonic() > self.store_failed_at + BLINDNESS_S:
-            self.fleet.set_blind(False)
-
     def copy_age_s(self) -> float:
         """Return the time since the store last confirmed the copy, seconds; inf without one."""
         return time.monotonic() - self.confirmed_at
@@ -435,47 +274,44 @@
     def changes_to_apply(
         self, items: Sequence[StoreItem], *, whole: bool, revision: int
     ) -> list[StoreItem]:
-        """Return the changes of the store to apply now, with deletions whose deferral has ended.
-
-        Entries lapse during an outage of the store and are written again soon after it. The end of
-        an outage, many deletions at once, or a deletion that another host has deferred therefore
-        defer all deletions that are read until ``LAPSE_GRACE_S`` has passed since the last such
-        event.
-        """
+        """Return the changes of the store to apply now, with deletions whose deferral has ended."""
         now = time.monotonic()
         changes = list(items)
         if whole:
-            listed = {item.key for item in changes}
-            changes += [
-                StoreItem(key=key, value=None, revision=revision)
-                for key, known in self.store_copy.items.items()
-                if key not in listed and known.revision <= revision
-            ]
+            changes += self.deletions_of_unlisted(items, revision=revision)
+        if self.are_entries_lapsed(changes) or (
+            not whole and any(self.is_deferred_elsewhere(item) for item in changes)
+        ):
+            self.deferral.defer(now=now)
+        return self.deferral.due_changes(changes, now=now)
+
+    def deletions_of_unlisted(
+        self, items: Iterable[StoreItem], *, revision: int
+    ) -> list[StoreItem]:
+        """Return deletions of the keys that a list of the whole store lacks."""
+        listed = {item.key for item in items}
+        return [
+            StoreItem(key=key, value=None, revision=revision)
+            for key, known in self.store_copy.items.items()
+            if key not in listed and known.revision <= revision
+        ]
+
+    def are_entries_lapsed(self, changes: Iterable[StoreItem]) -> bool:
+        """Return whether changes delete so many entries that these have lapsed in an outage."""
         deleted_keys = [
             item.key for item in changes if item.value is None and self.is_serving(item.key)
         ]
-        serving_count = (
-            sum(self.is_serving(key) for key in self.store_copy.items) if deleted_keys else 0
+        if not deleted_keys:
+            return False
+        serving = sum(self.is_serving(key) for key in self.store_copy.items)
+        if not is_mass_deletion(len(deleted_keys), serving=serving):
+            return False
+        self.log.warning(
+            "Many entries deleted at once; deletions deferred.",
+            count=len(deleted_keys),
+            of=serving,
         )
-        if len(deleted_keys) >= max(MIN_LAPSED_ENTRIES, MIN_LAPSED_FRACTION * serving_count):
-            self.defer_deletions_until = now + LAPSE_GRACE_S
-            self.log.warning(
-                "Many entries deleted at once; deletions deferred.",
-                count=len(deleted_keys),
-                of=serving_count,
-            )
-        elif not whole and any(self.is_deferred_elsewhere(item) for item in changes):
-            self.defer_deletions_until = max(self.defer_deletions_until, now + LAPSE_GRACE_S)
-        if now < self.defer_deletions_until:
-            for item in changes:
-                if item.value is None:
-                    self.deferred_deletions[item.key] = item
-                else:
-                    self.deferred_deletions.pop(item.key, None)
-            return [item for item in changes if item.value is not None]
-        due_deletions = list(self.deferred_deletions.values())
-        self.deferred_deletions.clear()
-        return due_deletions + changes
+        return True
 
     def is_deferred_elsewhere(self, item: StoreItem) -> bool:
         """Return whether a change is a deletion that the host which sent this copy has deferred.
@@ -548,6 +384,16 @@
         with self.condition:
             return self.store_copy.settled_revision if self.complete else 0
 
+    def has_deferred_deletions(self) -> bool:
+        """Return whether deletions were read that are not applied yet."""
+        with self.condition:
+            return bool(self.deferral.deletions)
+
+    def defer_deletions(self) -> None:
+        """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
+        with self.condition:
+            self.deferral.defer(now=time.monotonic())
+
     def end_follower_waits(self) -> None:
         """Answer waiting followers now and later requests at once; called when the host stops."""
         with self.condition:
@@ -620,28 +466,3 @@
             self.reported_problems.clear()
         self.reported_problems[key] = problem
         return True
-
-    def record_store_answer(self) -> None:
-        """Record an answer of the store; after an outage, defer deletions for ``LAPSE_GRACE_S``."""
-        self.store_answered_at = time.monotonic()
-        before, self.contact = self.contact, NEXT_CONTACT[self.contact, CallEnd.ANSWERED]
-        if before is self.contact:
-            return
-        self.fleet.set_blind(False)
-        if ends_outage(before, CallEnd.ANSWERED):
-            self.defer_deletions_until = time.monotonic() + LAPSE_GRACE_S
-            self.log.info("Store available again.")
-
-    def record_store_failure(self, error: StoreError) -> None:
-        """Record that a call of the store failed."""
-        self.store_answered_at = float("-inf")
-        self.store_failed_at = time.monotonic()
-        end = CallEnd.REFUSED if error.problem is StoreProblem.REFUSED else CallEnd.LOST
-        before, self.contact = self.contact, NEXT_CONTACT[self.contact, end]
-        if before is self.contact:
-            return
-        if self.contact is StoreContact.IN_DOUBT:
-            self.log.info("Connection to the store lost.", problem=str(error))
-            return
-        self.fleet.set_blind(True)
-        self.log.warning("Store unavailable.", problem=str(error))
--- /dev/null
+++ b/src/rhubarbway/services/store_reader.py
@@ -0,0 +1,212 @@
+"""Task of a reader: it watches the platform's store and passes on what it reads."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from typing import TYPE_CHECKING
+
+from rhubarbway.decisions.copy_freshness import CONFIRMATION_FRACTION
+from rhubarbway.decisions.store_contact import (
+    NEXT_CONTACT,
+    CallEnd,
+    StoreContact,
+    ends_outage,
+)
+from rhubarbway.kernel import Kernel
+from rhubarbway.model import StoreItem
+from rhubarbway.platform.store import StoreClient, StoreError, StoreProblem
+from rhubarbway.services.log import component_logger
+from rhubarbway.services.names import FLEET, REGISTRY
+from rhubarbway.services.registry import RegistryService
+
+if TYPE_CHECKING:
+    from rhubarbway.services.fleet import FleetService
+
+# Longest wait of a watch for a change, seconds. Longer waits save calls, each of which is charged
+# for. The first reader waits less, so that the store confirms the copies often enough to tell stale
+# ones apart. A connection may go silent just before a server is removed, which must be known 3 s
+# later: by then ``BATCH_DELAY_S`` and a watch with its margin must be over, and the next call must
+# have been answered.
+WATCH_WAIT_S = 1.8
+# Wait of a watch while the store has not answered recently, seconds. It asks for a reply at once,
+# so that a store that answers new connections is told from one that is away.
+PROBE_WAIT_S = 0.01
+# Time after an answer of the store during which watches wait for ``WATCH_WAIT_S``, seconds.
+RECENT_ANSWER_S = WATCH_WAIT_S + 2.0
+# Delay after a watch with changes, seconds. Changes come in groups, and each watch is charged for.
+BATCH_DELAY_S = 0.3
+# Delay after a failed call, seconds; it doubles with each failure up to the maximum.
+INITIAL_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+# Time for which a host that could not reach the store, and no longer reads it, is not chosen as a
+# reader, seconds. Other hosts are tried meanwhile.
+BLINDNESS_S = 10.0
+# Interval at which a host checks whether it has become a reader, seconds.
+ROLE_CHECK_INTERVAL_S = 0.1
+# Interval of that check while the host has no copy and callers may wait, seconds.
+START_CHECK_INTERVAL_S = 0.02
+
+
+class StoreReader:
+    """Reads the store while this host is a reader, and applies what it reads to the copy.
+
+    Parameters
+    ----------
+    make_client : callable
+        Returns a client of the store.
+    """
+
+    __slots__ = (
+        "client",
+        "contact",
+        "executor",
+        "fleet",
+        "log",
+        "random",
+        "registry",
+        "stopping",
+        "store_answered_at",
+        "store_failed_at",
+    )
+
+    def __init__(self, *, make_client: Callable[[], StoreClient]) -> None:
+        self.client = make_client()
+        # What the calls of this host have shown of the store.
+        self.contact = StoreContact.IN_DOUBT
+        # When the store last answered this host; -inf if the last call failed.
+        self.store_answered_at = float("-inf")
+        # When a call of this host to the store last failed.
+        self.store_failed_at = float("-inf")
+        self.random = Random()
+        self.stopping = threading.Event()
+        self.executor = ThreadPoolExecutor(1, thread_name_prefix="registry")
+        # Operators find the lines about the store and its copy under one component.
+        self.log = component_logger("registry")
+        self.fleet: FleetService
+        self.registry: RegistryService
+
+    def start(self, kernel: Kernel) -> None:
+        """Start the task that reads the store."""
+        self.fleet = kernel.find(FLEET)
+        self.registry = kernel.find(REGISTRY)
+        self.executor.submit(self.read_store)
+
+    def stop(self) -> None:
+        """End the task that reads the store."""
+        self.stopping.set()
+        self.client.abort()
+        self.executor.shutdown(wait=False)
+
+    def read_store(self) -> None:
+        """Task: while this host is a reader, watch the store from the revision of the copy."""
+        retry_delay_s = INITIAL_RETRY_DELAY_S
+        history_gone = False
+        while not self.stopping.is_set():
+            began_at = time.monotonic()
+            was_answering = self.contact is StoreContact.ANSWERING
+            self.registry.report_copy_age()
+            if not self.fleet.is_reader(
+                has_copy=self.registry.complete, copy_age_s=self.registry.copy_age_s()
+            ):
+                self.forget_blindness()
+                self.stopping.wait(
+                    ROLE_CHECK_INTERVAL_S if self.registry.complete else START_CHECK_INTERVAL_S
+                )
+                continue
+            try:
+                if not self.registry.complete or history_gone:
+                    self.list_store()
+                    history_gone = False
+                else:
+                    self.watch_store()
+                self.record_store_answer()
+                # Connections that are lost after one answer each keep the longer delay.
+                if was_answering:
+                    retry_delay_s = INITIAL_RETRY_DELAY_S
+            except StoreError as error:
+                history_gone = history_gone or error.problem is StoreProblem.HISTORY_GONE
+                if error.problem is StoreProblem.HISTORY_GONE:
+                    self.log.info(
+                        "Store no longer keeps the required changes.",
+                        after=self.registry.watch_start(),
+                    )
+                    continue
+                self.record_store_failure(error)
+                delay_s = retry_delay_s * (0.5 + self.random.random())
+                if self.contact is StoreContact.IN_DOUBT:
+                    # Counted from the call that was lost: after a timeout the next one is due.
+                    delay_s -= time.monotonic() - began_at
+                self.stopping.wait(max(0.0, delay_s))
+                retry_delay_s = min(2 * retry_delay_s, MAX_RETRY_DELAY_S)
+            except Exception:
+                self.log.exception("Reading the store failed.")
+                self.stopping.wait(MAX_RETRY_DELAY_S)
+
+    def list_store(self) -> None:
+        """Read all items of the store, page by page, and apply them."""
+        # The pages are no snapshot, so the copy is complete only up to the revision of the first
+        # page; a watch from there repeats later changes.
+        first_revision = 0
+        after = ""
+        items: list[StoreItem] = []
+        more = True
+        while more:
+            page = self.client.list_items("", after_key=after)
+            first_revision = first_revision or page.revision
+            items += page.items
+            after = page.items[-1].key if page.items else ""
+            more = page.has_more and bool(page.items)
+        self.log.info("Store listed.", revision=first_revision, items=len(items))
+        # Recorded before the list is applied: the answer may end an outage, in which case items
+        # that the list lacks may have lapsed during it.
+        self.record_store_answer()
+        self.registry.apply_store_changes(items, revision=first_revision, whole=True)
+
+    def watch_store(self) -> None:
+        """Wait for changes of the store and apply them."""
+        answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
+        wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
+        if self.fleet.is_first_reader():
+            wait_s = min(wait_s, CONFIRMATION_FRACTION * self.registry.apply_limit_s)
+        if self.registry.has_deferred_deletions() and answered_recently:
+            # Ends the watch when the deferral ends, since the deletions are applied after a watch.
+            wait_s = max(0.1, min(wait_s, self.registry.deferral.until - time.monotonic()))
+        page = self.client.watch("", after_revision=self.registry.watch_start(), wait_s=wait_s)
+        self.record_store_answer()
+        self.registry.apply_store_changes(page.items, revision=page.revision, whole=False)
+        if page.items:
+            self.stopping.wait(BATCH_DELAY_S)
+
+    def forget_blindness(self) -> None:
+        """Let a host that no longer reads the store be chosen as a reader again after some time."""
+        if time.monotonic() > self.store_failed_at + BLINDNESS_S:
+            self.fleet.set_blind(False)
+
+    def record_store_answer(self) -> None:
+        """Record an answer of the store; after an outage, defer deletions for some time."""
+        self.store_answered_at = time.monotonic()
+        before, self.contact = self.contact, NEXT_CONTACT[self.contact, CallEnd.ANSWERED]
+        if before is self.contact:
+            return
+        self.fleet.set_blind(False)
+        if ends_outage(before, CallEnd.ANSWERED):
+            self.registry.defer_deletions()
+            self.log.info("Store available again.")
+
+    def record_store_failure(self, error: StoreError) -> None:
+        """Record that a call of the store failed."""
+        self.store_answered_at = float("-inf")
+        self.store_failed_at = time.monotonic()
+        end = CallEnd.REFUSED if error.problem is StoreProblem.REFUSED else CallEnd.LOST
+        before, self.contact = self.contact, NEXT_CONTACT[self.contact, end]
+        if before is self.contact:
+            return
+        if self.contact is StoreContact.IN_DOUBT:
+            self.log.info("Connection to the store lost.", problem=str(error))
+            return
+        self.fleet.set_blind(True)
+        self.log.warning("Store unavailable.", problem=str(error))
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -330,9 +330,8 @@
     service.crashing_requests = CrashingRequestService()
     service.crashing_requests.start(Kernel())
     service.servers = ServersWithoutEffect()
-    service.registry = RegistryService(make_client=lambda: None)
+    service.registry = RegistryService()
     service.registry.servers = service.servers
-    service.registry.fleet = service
     service.registry.apply_store_changes(items, revision=revision, whole=True)
     return service
 
@@ -431,7 +430,7 @@
         """Guards against a host that starts with a part of the entries."""
         followed = fleet_with_copy(2, self.ITEMS, revision=200)
         starting = fleet_with_copy(1, (), revision=0)
-        starting.registry = RegistryService(make_client=lambda: None)
+        starting.registry = RegistryService()
         reply, _ = poll(starting, followed)
         assert reply.whole and len(reply.items) == 200
 
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -9,7 +9,8 @@
 from rhubarbway.decisions.store_contact import StoreContact
 from rhubarbway.model import StoreItem
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
-from rhubarbway.services.registry import WATCH_WAIT_S, RegistryService
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.store_reader import WATCH_WAIT_S, StoreReader
 
 SERVER_COUNT = 60
 
@@ -77,15 +78,21 @@
 
     def __init__(self):
         self.recorder = ServiceRecorder()
-        self.registry = RegistryService(make_client=lambda: None)
+        self.registry = RegistryService()
         self.registry.servers = self.recorder
         self.registry.routing = self.recorder
-        self.registry.fleet = self.recorder
         self.apply_changes([entry(number) for number in range(SERVER_COUNT)], revision=100)
 
     def apply_changes(self, items, *, revision):
         self.registry.apply_store_changes(items, revision=revision, whole=False)
 
+    def reader(self, client):
+        """Return a reader of the store that fills this registry."""
+        reader = StoreReader(make_client=lambda: client)
+        reader.registry = self.registry
+        reader.fleet = self.recorder
+        return reader
+
 
 class TestDeletions:
     def test_deletions_of_a_few_servers_apply_at_once(self):
@@ -138,7 +145,7 @@
             for n in range(48)
         ]
         filled.apply_changes(returned, revision=400)
-        filled.registry.defer_deletions_until = float("-inf")
+        filled.registry.deferral.until = float("-inf")
         filled.apply_changes([], revision=401)
         assert filled.recorder.removed == []
 
@@ -146,15 +153,16 @@
         """Guards against deferred deletions that are never applied."""
         filled = FilledRegistry()
         filled.apply_changes([deletion(number) for number in range(48)], revision=200)
-        filled.registry.defer_deletions_until = float("-inf")
+        filled.registry.deferral.until = float("-inf")
         filled.apply_changes([], revision=201)
         assert len(filled.recorder.removed) == 48
 
     def test_after_an_outage_each_deletion_is_deferred(self):
         """Guards against the removal of a few servers whose entries lapsed during an outage."""
         filled = FilledRegistry()
-        filled.registry.contact = StoreContact.AWAY
-        filled.registry.record_store_answer()
+        reader = filled.reader(None)
+        reader.contact = StoreContact.AWAY
+        reader.record_store_answer()
         filled.apply_changes([deletion(5)], revision=200)
         assert filled.recorder.removed == []
 
@@ -174,12 +182,12 @@
 
 
 class TestWatch:
-    def watch_once(self, registry, client):
-        """Watch once as the task of the registry does; return the longest time it may take."""
+    def watch_once(self, reader, client):
+        """Watch once as the task of the reader does; return the longest time it may take."""
         try:
-            registry.watch_store()
+            reader.watch_store()
         except StoreError as error:
-            registry.record_store_failure(error)
+            reader.record_store_failure(error)
         return client.requested_waits_s[-1] + WATCH_MARGIN_S
 
     def test_the_return_of_an_unresponsive_store_is_detected_soon(self):
@@ -189,26 +197,26 @@
         and each waited 4.7 s for an answer. A configuration published in that time came into force
         later than the allowed 3 s.
         """
-        registry, client = FilledRegistry().registry, FakeStoreClient()
-        registry.client = client
-        registry.record_store_answer()
-        assert self.watch_once(registry, client) >= WATCH_WAIT_S
+        client = FakeStoreClient()
+        reader = FilledRegistry().reader(client)
+        reader.record_store_answer()
+        assert self.watch_once(reader, client) >= WATCH_WAIT_S
         client.is_unresponsive = True
-        self.watch_once(registry, client)
+        self.watch_once(reader, client)
         # The delay between two calls is at most 1.5 s.
-        assert self.watch_once(registry, client) <= 1.5
+        assert self.watch_once(reader, client) <= 1.5
         client.is_unresponsive = False
-        assert self.watch_once(registry, client) <= 1.5
-        assert self.watch_once(registry, client) >= WATCH_WAIT_S
+        assert self.watch_once(reader, client) <= 1.5
+        assert self.watch_once(reader, client) >= WATCH_WAIT_S
 
     def test_the_first_watch_of_a_new_reader_is_short(self):
         """Guards against a new reader that notices late that it cannot reach the store.
 
         It may have replaced readers that cannot reach the store, and be cut off like them.
         """
-        registry, client = FilledRegistry().registry, FakeStoreClient()
-        registry.client = client
-        assert self.watch_once(registry, client) <= 1.5
+        client = FakeStoreClient()
+        reader = FilledRegistry().reader(client)
+        assert self.watch_once(reader, client) <= 1.5
 
     def test_a_watch_begun_before_an_outage_ends_before_bounds_hold_again(self):
         """Guards against an unanswered watch that still waits 4 s after the end of an outage.
@@ -287,12 +295,12 @@
     def test_the_first_reader_is_answered_often_enough_to_confirm_all_copies(self):
         """Guards against copies that count as stale between two watches."""
         filled = FilledRegistry()
-        registry, client = filled.registry, FakeStoreClient()
-        registry.client = client
+        client = FakeStoreClient()
+        reader = filled.reader(client)
         filled.recorder.first_reader = True
-        registry.record_store_answer()
-        registry.watch_store()
-        assert client.requested_waits_s[-1] < STALE_FRACTION * registry.apply_limit_s
+        reader.record_store_answer()
+        reader.watch_store()
+        assert client.requested_waits_s[-1] < STALE_FRACTION * filled.registry.apply_limit_s
 
     def test_a_newer_confirmation_reaches_waiting_followers_at_once(self):
         """Guards against a copy that seems older at each host between it and the store."""
@@ -329,7 +337,7 @@
         assert registry.watch_start() == start < registry.store_copy.revision
         filled.apply_changes([deletion(1, revision=190)], revision=200)
         assert filled.recorder.removed == [] and registry.store_copy.settled_revision == start
-        registry.defer_deletions_until = 0.0
+        registry.deferral.until = 0.0
         filled.apply_changes([], revision=201)
         assert filled.recorder.removed == ["i-1"]
         assert registry.store_copy.settled_revision == 201
--- a/src/rhubarbway/services/tests/test_store_silence.py
+++ b/src/rhubarbway/services/tests/test_store_silence.py
@@ -4,9 +4,12 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from rhubarbway.decisions.deferred_deletions import LAPSE_GRACE_S
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
 from rhubarbway.services import registry as registry_module
-from rhubarbway.services.registry import LAPSE_GRACE_S, PROBE_WAIT_S, RegistryService
+from rhubarbway.services import store_reader as reader_module
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.store_reader import PROBE_WAIT_S, StoreReader
 from rhubarbway.services.tests.test_registry import LineRecorder, deletion, entry
 
 # Limits of the users' small sites, seconds: no request reaches a server later than the first after
@@ -97,13 +100,16 @@
         self.first_reader = first_reader
         self.removed_at = {}
         self.lines = []
-        registry = RegistryService(make_client=lambda: store)
-        registry.servers = registry.routing = registry.fleet = self
-        registry.stopping = registry.random = self.clock
-        registry.log = LineRecorder(lines=self.lines)
+        registry = RegistryService()
+        registry.servers = registry.routing = self
+        reader = StoreReader(make_client=lambda: store)
+        reader.registry, reader.fleet = registry, self
+        reader.stopping = reader.random = self.clock
+        registry.log = reader.log = LineRecorder(lines=self.lines)
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(registry_module, "time", self.clock)
-            registry.read_store()
+            for module in (registry_module, reader_module):
+                patch.setattr(module, "time", self.clock)
+            reader.read_store()
 
     def update(self, changed, removed):
         for server_id in removed:
