Evacuate the servers of an availability zone at the operator's request

Change: the key is decoded in platform.evacuation_keys; the registry derives the set of evacuated zones from its copy whenever such a key changes, before it applies servers; ServerService closes the pools of these zones, withdraws what waits for a connection, and opens new pools at the end. Deletions of keys that cannot lapse are never deferred. One log line at begin and end, a gauge, and GET /v1/status at the address of the metrics.

--- a/src/rhubarbway/decisions/deferred_deletions.py
+++ b/src/rhubarbway/decisions/deferred_deletions.py
@@ -2,12 +2,14 @@
 
 Entries of living servers lapse during an outage of the store and are written again soon after it.
 The end of an outage, many deletions at once, or a deletion that another host has deferred therefore
-defer all deletions that are read until ``LAPSE_GRACE_S`` has passed since the last such event.
+defer all deletions of entries that are read until ``LAPSE_GRACE_S`` has passed since the last such
+event. The operator's keys do not lapse, so their deletions are never deferred: a zone would stay
+evacuated after the operator has taken the evacuation back.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from rhubarbway.model import StoreItem
 
@@ -37,6 +39,11 @@
 class DeferredDeletions:
     """Deletions that were read, but are not applied yet; the caller holds a lock.
 
+    Parameters
+    ----------
+    may_lapse : callable
+        Whether the value of a key can lapse during an outage.
+
     Attributes
     ----------
     deletions : dict of str to StoreItem
@@ -47,7 +54,7 @@
 
     Examples
     --------
-    >>> deferral = DeferredDeletions()
+    >>> deferral = DeferredDeletions(may_lapse=lambda key: True)
     >>> deferral.defer(now=0.0)
     >>> gone = StoreItem(key="a", value=None, revision=5)
     >>> deferral.due_changes([gone], now=1.0)
@@ -56,9 +63,10 @@
     ['a']
     """
 
-    __slots__ = ("deletions", "until")
+    __slots__ = ("deletions", "may_lapse", "until")
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_lapse: Callable[[str], bool]) -> None:
+        self.may_lapse = may_lapse
         self.deletions: dict[str, StoreItem] = {}
         self.until = float("-inf")
 
@@ -73,9 +81,11 @@
             due_deletions = list(self.deletions.values())
             self.deletions.clear()
             return due_deletions + changes
+        due = []
         for item in changes:
-            if item.value is None:
+            if item.value is None and self.may_lapse(item.key):
                 self.deletions[item.key] = item
-            else:
-                self.deletions.pop(item.key, None)
-        return [item for item in changes if item.value is not None]
+                continue
+            self.deletions.pop(item.key, None)
+            due.append(item)
+        return due
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -78,6 +78,8 @@
         Whether the slowness comes from requests of this host, not from a report of another host.
     leaving : bool
         Whether the server has announced that it leaves.
+    evacuated : bool
+        Whether the zone of the server is evacuated.
     needs_connection : bool
         Whether a request would have to open a connection first.
     quiet_until : float
@@ -89,6 +91,7 @@
         "consecutive_ejections",
         "last_failure_at",
         "consecutive_failures",
+        "evacuated",
         "observed_at",
         "is_first_hand",
         "leaving",
@@ -114,12 +117,16 @@
         self.ejected_until = float("-inf")
         self.consecutive_ejections = 0
         self.leaving = False
+        self.evacuated = False
         self.needs_connection = False
         self.quiet_until = float("-inf")
 
     def accepts_requests(self, now: float) -> bool:
-        """Whether a request may be sent: the server does not leave and has not asked for quiet."""
-        return not self.leaving and now >= self.quiet_until
+        """Whether a request may be sent.
+
+        None may be if the server leaves or has asked for quiet, or if its zone is evacuated.
+        """
+        return not self.leaving and not self.evacuated and now >= self.quiet_until
 
     def record_sent(self, attempt_number: int, now: float) -> None:
         """Add an attempt that was submitted to the pool; it may still wait for a connection."""
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -39,6 +39,7 @@
 from rhubarbway.services.fleet import FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.gateway import GatewayService
+from rhubarbway.services.gateway_status import GatewayStatus
 from rhubarbway.services.invariants import InvariantService, mismatch_reporter
 from rhubarbway.services.log import LogService, component_logger
 from rhubarbway.services.metrics import MetricsService
@@ -49,6 +50,7 @@
     FLEET,
     FORWARDING,
     GATEWAY,
+    GATEWAY_STATUS,
     INVARIANTS,
     LOG,
     METRICS,
@@ -99,6 +101,22 @@
     )
 
 
+def apply_limit_s(settings: GatewaySettings) -> float:
+    """Return the time within which a change of the store must be in force on each host, seconds.
+
+    Configurations and evacuations travel together, so the shorter of the two bounds holds.
+
+    Examples
+    --------
+    >>> host = {"name": "h", "zone": "z", "listen": "", "ready_listen": "", "peer_listen": ""}
+    >>> settings = GatewaySettings(**host, store="", config_apply_ms=5000, evacuate_ms=4000)
+    >>> apply_limit_s(settings), apply_limit_s(GatewaySettings(**host, store=""))
+    (4.0, 3.0)
+    """
+    bounds_ms = (settings.config_apply_ms, settings.evacuate_ms)
+    return min(bound_ms for bound_ms in bounds_ms if bound_ms) / 1000
+
+
 def build_kernel(settings: GatewaySettings) -> Kernel:
     """Create a kernel and register all services of a gateway, without starting them."""
     kernel = Kernel()
@@ -120,6 +138,7 @@
             cores=settings.cores,
         ),
     )
+    servers.evacuation_listeners.append(metrics.set_zone_evacuated)
     servers.tasks.report_mismatch = mismatch_reporter(expect, side="server")
     servers.tasks.report_unexpected_data = report_unexpected_data
     forwarding = kernel.register(
@@ -127,7 +146,7 @@
     )
     registry = kernel.register(
         REGISTRY,
-        RegistryService(apply_limit_s=settings.config_apply_ms / 1000),
+        RegistryService(apply_limit_s=apply_limit_s(settings)),
     )
     kernel.register(
         STORE_READER,
@@ -177,6 +196,7 @@
             report_ready_failure=failure_reporter(count_failure, side="load_balancer"),
         ),
     )
+    kernel.register(GATEWAY_STATUS, GatewayStatus(name=settings.name, zone=settings.zone))
     return kernel
 
 
--- a/src/rhubarbway/platform/tests/test_names.py
+++ b/src/rhubarbway/platform/tests/test_names.py
@@ -10,7 +10,7 @@
 PACKAGE = Path(rhubarbway.__file__).parent
 WIRE_NAMES = re.compile(
     r"topK|minShardRatio|trafficSplit|pathPrefix|routeType|targetLatencyMs|warmupLeftMs|staleRead"
-    r"|maxAttempts|maxConnections|kv-watch|kv-range|kv-key|hasMore|atRev|op/config"
+    r"|maxAttempts|maxConnections|kv-watch|kv-range|kv-key|hasMore|atRev|op/config|op/evacuate"
     r"|X-Expect-Instance|X-Part-Stamps|X-Missing-Shards|X-Not-Executed|X-Server-Stamp"
     r"|X-Deadline-Ms|configApplyMs|retryBudgetRatio"
 )
--- a/src/rhubarbway/services/__init__.py
+++ b/src/rhubarbway/services/__init__.py
@@ -12,8 +12,8 @@
   ``peer_link``, ``peers``, ``platform``, ``queries``, ``replica_pool``, ``shard_pools``,
   ``slices``, ``tokens``.
 - Gateways: ``caller_inbox``, ``crashing_requests``, ``fleet``, ``forwarding``,
-  ``forwarding_context``, ``gateway``, ``invariants``, ``metrics_endpoint``, ``registry``,
-  ``request_forwarder``, ``route_latencies``, ``routing``, ``send_checks``, ``server_pool``,
-  ``servers``, ``settings_reload``, ``shard_progress``, ``shared_retry_budget``,
+  ``forwarding_context``, ``gateway``, ``gateway_status``, ``invariants``, ``metrics_endpoint``,
+  ``registry``, ``request_forwarder``, ``route_latencies``, ``routing``, ``send_checks``,
+  ``server_pool``, ``servers``, ``settings_reload``, ``shard_progress``, ``shared_retry_budget``,
   ``store_reader``, ``wake_event``.
 """
--- /dev/null
+++ b/src/rhubarbway/services/gateway_status.py
@@ -0,0 +1,89 @@
+"""Status of a gateway for operators, served on the address of its metrics."""
+
+from __future__ import annotations
+
+import math
+import time
+
+from werkzeug.wrappers import Request, Response
+
+from rhubarbway.edge.json_codec import encode_json
+from rhubarbway.kernel import Kernel
+from rhubarbway.services.fleet import FleetService
+from rhubarbway.services.gateway import GatewayService
+from rhubarbway.services.metrics_endpoint import MetricsEndpoint
+from rhubarbway.services.names import (
+    FLEET,
+    GATEWAY,
+    METRICS_ENDPOINT,
+    REGISTRY,
+    ROUTING,
+    SERVERS,
+)
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.routing import RoutingService
+from rhubarbway.services.servers import ServerService
+
+STATUS_PATH = "/v1/status"
+READY_PATH = "/v1/ready"
+JSON_CONTENT_TYPE = "application/json"
+
+
+class GatewayStatus:
+    """Describes what a gateway believes: configuration, copy of the store, servers, evacuations.
+
+    Parameters
+    ----------
+    name, zone : str
+        Name and availability zone of the host.
+    """
+
+    __slots__ = ("fleet", "gateway", "name", "registry", "routing", "servers", "zone")
+
+    def __init__(self, *, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.fleet: FleetService
+        self.gateway: GatewayService
+        self.registry: RegistryService
+        self.routing: RoutingService
+        self.servers: ServerService
+
+    def start(self, kernel: Kernel) -> None:
+        """Register the paths at the address of the metrics."""
+        self.fleet = kernel.find(FLEET)
+        self.gateway = kernel.find(GATEWAY)
+        self.registry = kernel.find(REGISTRY)
+        self.routing = kernel.find(ROUTING)
+        self.servers = kernel.find(SERVERS)
+        endpoint: MetricsEndpoint = kernel.find(METRICS_ENDPOINT)
+        endpoint.handlers[STATUS_PATH] = self.answer_status
+        endpoint.handlers[READY_PATH] = self.gateway.respond_ready
+
+    def stop(self) -> None:
+        """Keep answering; the endpoint stops by itself."""
+
+    def answer_status(self, request: Request) -> Response:
+        """Return the status as JSON."""
+        return Response(encode_json(self.status()), content_type=JSON_CONTENT_TYPE)
+
+    def status(self) -> dict[str, object]:
+        """Return the status document; times are seconds, and the age of the copy null without one.
+
+        The age of an evacuation counts from when this host learned of it.
+        """
+        now = time.monotonic()
+        age_s = self.registry.copy_age_s()
+        with self.servers.lock:
+            evacuated = self.servers.evacuated_zones.ages_s(now=now)
+            in_use = self.servers.count_by_zone()
+        return {
+            "name": self.name,
+            "zone": self.zone,
+            "leaving": self.gateway.leaving.is_set(),
+            "configuration_version": self.routing.version,
+            "store_copy_age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            "reads_store": self.fleet.is_reader(has_copy=self.registry.complete, copy_age_s=age_s),
+            "evacuated_zones": {zone: round(age, 3) for zone, age in evacuated.items()},
+            "servers_in_use": in_use,
+        }
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -41,6 +41,7 @@
         "copy_confirmed",
         "delegated_requests",
         "dropped_observations",
+        "evacuated_zones",
         "entry_hosts",
         "exchange_latency",
         "exchange_tally",
@@ -149,6 +150,11 @@
             "Unix time at which the store last confirmed that this host's copy is current.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "rhubarbway_zone_evacuated",
+            "Whether a zone is evacuated (1) or was evacuated before (0), by zone.",
+            registry=self.registry,
+        )
         self.feed_replies = Counter(
             "rhubarbway_feed_replies_total",
             "Replies to the feed requests of other hosts, by content (whole, changes, members).",
@@ -284,6 +290,10 @@
         confirmed_at = time.time() - age_s
         self.queue_observation(lambda: self.copy_confirmed.set({}, confirmed_at))
 
+    def set_zone_evacuated(self, zone: str, evacuated: bool) -> None:
+        """Record the begin or the end of the evacuation of a zone."""
+        self.queue_observation(lambda: self.evacuated_zones.set({"zone": zone}, int(evacuated)))
+
     def count_feed_reply(self, *, content: str, size: int) -> None:
         """Count a reply to another host, whose body has ``size`` bytes."""
 
--- a/src/rhubarbway/services/metrics_endpoint.py
+++ b/src/rhubarbway/services/metrics_endpoint.py
@@ -1,8 +1,9 @@
-"""HTTP endpoint that serves the metrics on a separate address."""
+"""HTTP endpoint for operators on a separate address: the metrics, and paths of other services."""
 
 from __future__ import annotations
 
 import queue
+from collections.abc import Callable
 
 from werkzeug.wrappers import Request, Response
 
@@ -20,18 +21,24 @@
 
 
 class MetricsEndpoint:
-    """Serves the metrics over HTTP.
+    """Serves the metrics over HTTP, and what other services register by path.
 
     Parameters
     ----------
     listen : str
         ``HOST:PORT``; port 0 disables the endpoint.
+
+    Attributes
+    ----------
+    handlers : dict of str to callable
+        Handler of each path. Other services add theirs when they start.
     """
 
-    __slots__ = ("listen", "log", "metrics", "server")
+    __slots__ = ("handlers", "listen", "log", "metrics", "server")
 
     def __init__(self, *, listen: str) -> None:
         self.listen = listen
+        self.handlers: dict[str, Callable[[Request], Response]] = {PATH: self.answer_metrics}
         self.log = component_logger("metrics")
         self.metrics: MetricsService
         self.server: HttpServer | None = None
@@ -60,9 +67,12 @@
             self.server.stop(grace_s=0.1)
 
     def respond(self, request: Request) -> Response:
+        """Answer a request by its path; an unknown one gets status 404."""
+        handler = self.handlers.get(request.path)
+        return Response(status=404) if handler is None else handler(request)
+
+    def answer_metrics(self, request: Request) -> Response:
         """Answer a request with the metrics."""
-        if request.path != PATH:
-            return Response(status=404)
         try:
             return Response(self.metrics.exposition(), content_type=CONTENT_TYPE)
         except queue.Empty:
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -15,6 +15,7 @@
     from rhubarbway.services.forwarding import ForwardingService
     from rhubarbway.services.frontend import FrontendService
     from rhubarbway.services.gateway import GatewayService
+    from rhubarbway.services.gateway_status import GatewayStatus
     from rhubarbway.services.invariants import InvariantService
     from rhubarbway.services.log import LogService
     from rhubarbway.services.manifest import ManifestService
@@ -52,6 +53,7 @@
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 DELEGATION: ServiceKey[DelegationService] = ServiceKey("delegation")
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
+GATEWAY_STATUS: ServiceKey[GatewayStatus] = ServiceKey("gateway_status")
 METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
 INVARIANTS: ServiceKey[InvariantService] = ServiceKey("invariants")
 # The key equals the component of the service's log lines, which operators search for.
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -18,6 +18,7 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
 from rhubarbway.platform.configuration import CONFIGURATION_KEY, routing_table_from_json
+from rhubarbway.platform.evacuation_keys import EVACUATION_KEY_PREFIX, evacuated_zone
 from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING, SERVERS
@@ -30,6 +31,11 @@
 MIN_WAKE_INTERVAL_S = 0.3
 
 
+def is_server_key(key: str) -> bool:
+    """Return whether the value of a key describes a server, so that it may lapse."""
+    return key.startswith(SERVER_KEY_PREFIX)
+
+
 class Changes:
     """Changes of the copy for a follower.
 
@@ -141,8 +147,9 @@
         self.followers_woken_at = float("-inf")
         # The copy and the deferred deletions contain all changes up to this revision of the store.
         self.read_revision = 0
-        self.deferral = DeferredDeletions()
-        # Called with the kind of each value that cannot be used: ``server`` or ``configuration``.
+        self.deferral = DeferredDeletions(may_lapse=is_server_key)
+        # Called with the kind of each value that cannot be used: ``server``, ``configuration`` or
+        # ``evacuation``.
         self.invalid_item_listeners: list[Callable[..., None]] = []
         # By key, the problem of its value that was logged last.
         self.reported_problems: dict[str, str] = {}
@@ -322,6 +329,7 @@
         known = self.store_copy.items.get(item.key)
         return (
             item.value is None
+            and is_server_key(item.key)
             and known is not None
             and known.revision < item.revision <= self.store_copy.revision
         )
@@ -329,7 +337,7 @@
     def is_serving(self, key: str) -> bool:
         """Return whether the entry of a key describes a server that is not draining."""
         item = self.store_copy.items.get(key)
-        if item is None or item.value is None:
+        if item is None or item.value is None or not is_server_key(key):
             return False
         server = server_from_entry(key, item.value).value_or(None)
         return server is not None and not server.draining
@@ -417,6 +425,9 @@
         # By server id. The last change of a server takes precedence, since a write and the deletion
         # that follows it may arrive together.
         servers: dict[str, BackendServer | None] = {}
+        # Before the servers, so that those of an evacuated zone are not used in between.
+        if any(item.key.startswith(EVACUATION_KEY_PREFIX) for item in changed_items):
+            self.servers.set_evacuated_zones(self.evacuated_zones())
         for item in changed_items:
             if item.key == CONFIGURATION_KEY:
                 self.offer_configuration(item, source)
@@ -428,6 +439,21 @@
             removed = [server_id for server_id, server in servers.items() if server is None]
             self.servers.update(changed, removed)
 
+    def evacuated_zones(self) -> set[str]:
+        """Return the zones whose evacuation the copy asks for; the caller holds the lock."""
+        zones = set()
+        for item in self.store_copy.items.values():
+            if not item.key.startswith(EVACUATION_KEY_PREFIX):
+                continue
+            result = evacuated_zone(item.key)
+            if isinstance(result, Success):
+                zones.add(result.unwrap())
+                continue
+            finding = str(result.failure())
+            if self.is_new_problem(item.key, finding, kind="evacuation"):
+                self.log.warning("Invalid evacuation key ignored.", finding=finding)
+        return zones
+
     def offer_configuration(self, item: StoreItem, source: str) -> None:
         """Put a configuration into force, unless it is invalid or older than the one in force."""
         if item.value is None:
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -210,6 +210,15 @@
             self.state.leaving = True
         self.withdraw_queued()
 
+    def mark_evacuated(self) -> None:
+        """Send nothing more from this pool, and withdraw the attempts that were not sent yet.
+
+        The server gets a new pool when the evacuation of its zone ends.
+        """
+        with self.lock:
+            self.state.evacuated = True
+        self.withdraw_queued()
+
     def set_quiet_until(self, instant: float) -> None:
         """Send nothing to the server until an instant, and withdraw the attempts not sent yet."""
         with self.lock:
@@ -232,7 +241,11 @@
 
     def withdrawn_outcome(self, attempt: ServerAttempt) -> ExchangeOutcome:
         """Return the outcome of an attempt that is not sent because the server wants none."""
-        detail = "the server leaves" if self.state.leaving else "the server asked for quiet"
+        reasons = (
+            (self.state.leaving, "the server leaves"),
+            (self.state.evacuated, "the zone of the server is evacuated"),
+        )
+        detail = next((text for holds, text in reasons if holds), "the server asked for quiet")
         return self.make_outcome(
             attempt, ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN, detail=detail
         )
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -4,9 +4,11 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 
+from rhubarbway.decisions.evacuation import EvacuatedZones, services_without_servers
 from rhubarbway.decisions.fleet_view import DEFAULT_HOST_COUNT
 from rhubarbway.decisions.preconnect import pools_to_preconnect, sharded_services
 from rhubarbway.decisions.server_notices import LeavingMark, ServerNotices
@@ -81,6 +83,8 @@
         "codec",
         "connection_caps",
         "cores",
+        "evacuated_zones",
+        "evacuation_listeners",
         "fan_out_services",
         "host_count",
         "lock",
@@ -113,7 +117,10 @@
         self.random = Random()
         # Services that are a shard of some route, so that each request of the route goes to them.
         self.fan_out_services: set[str] = set()
-        # All servers by id, including those that are draining.
+        self.evacuated_zones = EvacuatedZones()
+        # Called with each zone whose evacuation begins (True) or ends (False).
+        self.evacuation_listeners: list[Callable[[str, bool], None]] = []
+        # All servers by id, including those that are draining or in an evacuated zone.
         self.servers: dict[str, BackendServer] = {}
         # By incarnation, so that a restarted server gets a new pool.
         self.pools: dict[tuple[str, int, str, str], ServerPool] = {}
@@ -185,15 +192,57 @@
                 self.servers[server.id] = server
             self.apply_servers()
 
+    def set_evacuated_zones(self, zones: Collection[str]) -> None:
+        """Stop using the servers of these zones, and use those of all others again."""
+        now = time.monotonic()
+        with self.lock:
+            ages_s = self.evacuated_zones.ages_s(now=now)
+            begun, ended = self.evacuated_zones.replace(zones, now=now)
+            if not begun and not ended:
+                return
+            withdrawn = [
+                pool for pool in self.pools.values() if self.evacuated_zones.includes(pool.server)
+            ]
+            self.apply_servers()
+            in_use = self.count_by_zone()
+            unserved = services_without_servers(self.servers.values(), self.evacuated_zones)
+        for pool in withdrawn:
+            pool.mark_evacuated()
+        for zone in begun:
+            self.log.info(
+                "Evacuation of a zone began.",
+                zone=zone,
+                servers_withdrawn=sum(pool.server.zone == zone for pool in withdrawn),
+                services_without_servers=unserved[:8],
+            )
+        for zone in ended:
+            self.log.info(
+                "Evacuation of a zone ended.",
+                zone=zone,
+                after_s=round(ages_s[zone], 2),
+                servers=in_use.get(zone, 0),
+            )
+        for listener in self.evacuation_listeners:
+            for zone in (*begun, *ended):
+                listener(zone, zone in begun)
+
+    def count_by_zone(self) -> dict[str, int]:
+        """Return the number of servers in use in each zone; the caller holds the lock."""
+        return dict(sorted(Counter(pool.server.zone for pool in self.pools.values()).items()))
+
     def apply_servers(self) -> None:
-        """Create pools for new servers, and close those of draining, leaving and removed servers.
+        """Create pools for new servers, and close those of servers that get no more requests.
 
-        The caller holds the lock.
+        These are draining, leaving or removed, or in an evacuated zone. The caller holds the lock.
         """
         pools: dict[tuple[str, int, str, str], ServerPool] = {}
         pools_by_service: dict[str, list[ServerPool]] = {}
         for server in self.servers.values():
-            if server.draining or self.notices.is_leaving(server.incarnation):
+            if (
+                server.draining
+                or self.notices.is_leaving(server.incarnation)
+                or self.evacuated_zones.includes(server)
+            ):
                 continue
             pool = self.pools.get(server.incarnation)
             if pool is None:
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -4,6 +4,8 @@
 from threading import Thread
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rhubarbway.decisions.copy_freshness import STALE_FRACTION
 from rhubarbway.decisions.store_contact import StoreContact
@@ -22,8 +24,16 @@
         self.first_reader = False
         self.removed = []
         self.in_use = set()
+        # The zones that were evacuated while servers were first applied, and those that are now.
+        self.evacuated_at_first = None
+        self.evacuated = set()
+
+    def set_evacuated_zones(self, zones):
+        self.evacuated = set(zones)
 
     def update(self, changed, removed):
+        if self.evacuated_at_first is None:
+            self.evacuated_at_first = self.evacuated
         self.removed += removed
         self.in_use -= set(removed)
         self.in_use |= {server.id for server in changed}
@@ -167,6 +177,103 @@
         assert filled.recorder.removed == []
 
 
+def evacuation(zone, revision):
+    return StoreItem(key=f"op/evacuate/{zone}", value=b"{}", revision=revision)
+
+
+def end_of(written, revision):
+    return StoreItem(key=written.key, value=None, revision=revision)
+
+
+class TestEvacuations:
+    def test_the_end_is_never_deferred(self):
+        """Guards against a zone that stays empty because entries may have lapsed in an outage."""
+        filled = FilledRegistry()
+        written = evacuation("z", 200)
+        filled.apply_changes([written], revision=200)
+        filled.registry.defer_deletions()
+        filled.apply_changes([deletion(5, revision=201), end_of(written, 202)], revision=202)
+        assert filled.recorder.evacuated == set() and filled.recorder.removed == []
+
+    def test_many_ends_at_once_defer_no_deletion(self):
+        """Guards against evacuation keys that pass for entries which lapsed in an outage."""
+        filled = FilledRegistry()
+        # The value of such a key says nothing, whatever it is.
+        written = [
+            StoreItem(
+                key=f"op/evacuate/z{number}", value=entry(number).value, revision=200 + number
+            )
+            for number in range(SERVER_COUNT)
+        ]
+        filled.apply_changes(written, revision=300)
+        ends = [end_of(item, 301 + number) for number, item in enumerate(written)]
+        filled.apply_changes([*ends, deletion(5, revision=400)], revision=400)
+        assert filled.recorder.evacuated == set() and filled.recorder.removed == ["i-5"]
+
+    def test_an_end_that_another_host_has_applied_defers_no_deletion(self):
+        """Guards against a new reader that keeps removed servers when it reads such an end."""
+        filled = FilledRegistry()
+        written = evacuation("z", 150)
+        filled.apply_changes([written], revision=150)
+        filled.registry.apply_changes(
+            [], revision=200, whole=False, complete=True, source="h", settled_revision=150
+        )
+        filled.apply_changes([end_of(written, 180), deletion(1, revision=210)], revision=210)
+        assert filled.recorder.removed == ["i-1"]
+
+    def test_a_list_of_the_store_begins_and_ends_evacuations(self):
+        """Guards against an evacuation that is missed or kept while the history is lost."""
+        filled = FilledRegistry()
+        filled.apply_changes([evacuation("old", 200)], revision=200)
+        listed = [*filled.registry.store_copy.items.values(), evacuation("new", 300)]
+        listed = [item for item in listed if item.key != "op/evacuate/old"]
+        filled.registry.defer_deletions()
+        filled.registry.apply_store_changes(listed, revision=300, whole=True)
+        assert filled.recorder.evacuated == {"new"}
+
+    def test_a_starting_host_knows_them_before_it_uses_servers(self):
+        """Guards against connections and requests to an evacuated zone when a host starts."""
+        recorder = ServiceRecorder()
+        registry = RegistryService()
+        registry.servers = registry.routing = recorder
+        items = [*(entry(number) for number in range(3)), evacuation("z", 200)]
+        registry.apply_changes(items, revision=200, whole=True, complete=True, source="h")
+        assert recorder.evacuated_at_first == {"z"} and len(recorder.in_use) == 3
+
+    @settings(max_examples=200, deadline=None)
+    @given(
+        ended=st.lists(st.booleans(), min_size=1, max_size=6),
+        order=st.randoms(use_true_random=False),
+        behind=st.integers(0, 6),
+    )
+    def test_no_order_of_changes_and_no_host_that_lags_leaves_a_wrong_set(
+        self, ended, order, behind
+    ):
+        """Guards against an evacuation that an older change or copy brings back or takes away."""
+        changes = []
+        for is_end in ended:
+            revision = 200 + len(changes)
+            written = evacuation("z", revision)
+            changes.append(end_of(written, revision) if is_end else written)
+        last = 199 + len(changes)
+        filled = FilledRegistry()
+        shuffled = list(changes)
+        order.shuffle(shuffled)
+        for item in shuffled:
+            filled.registry.apply_changes(
+                [item], revision=0, whole=False, complete=False, source="h"
+            )
+        filled.apply_changes(changes, revision=last)
+        lagging = FilledRegistry()
+        known = changes[:behind]
+        lagging.apply_changes(known, revision=199 + len(known))
+        copy = lagging.registry.wait_for_changes(after=None, wait_s=0.0)
+        filled.registry.apply_changes(
+            copy.items, revision=copy.revision, whole=True, complete=True, source="lagging"
+        )
+        assert filled.recorder.evacuated == (set() if ended[-1] else {"z"})
+
+
 class FakeStoreClient:
     """Client of a store that has no changes or does not answer; records the waits requested."""
 
--- a/src/rhubarbway/services/tests/test_servers.py
+++ b/src/rhubarbway/services/tests/test_servers.py
@@ -1,7 +1,7 @@
-"""Tests of the servers in use under any order of registrations, drains, removals and new limits.
+"""Tests of the servers in use under any order of registrations, drains, evacuations and removals.
 
-Guards against requests to a server that drains or is gone, requests to an address that now belongs
-to another server, and more connections than a server accepts.
+Guards against requests to a server that drains, is evacuated or is gone, requests to an address
+that now belongs to another server, and more connections than a server accepts.
 """
 
 import time
@@ -30,6 +30,7 @@
 
 IDS = st.sampled_from(["i-1", "i-2", "i-3"])
 SERVICES = st.sampled_from(["desk", "board"])
+ZONES = ("north", "south")
 LIMITS = CallerLimits(
     max_header_bytes=1000, max_body_bytes=1000, header_timeout_s=1.0, idle_timeout_s=1.0
 )
@@ -58,6 +59,7 @@
         self.service.tasks.executor = IdleExecutor()
         self.known = {}
         self.leaving = set()
+        self.evacuated = set()
         self.caps = {}
         self.host_count = self.service.host_count
         self.seen_pools = {}
@@ -72,20 +74,26 @@
         service=SERVICES,
         run=st.tuples(st.integers(1, 3), st.integers(1, 2)),
         slots=st.integers(1, 3),
+        zone=st.sampled_from(ZONES),
     )
-    def register(self, server_id, service, run, slots):
+    def register(self, server_id, service, run, slots, zone):
         port, started_ms = run
         self.update(
             BackendServer(
                 id=server_id,
                 service=service,
                 address=f"10.0.0.1:{port}",
-                zone="z",
+                zone=zone,
                 slots=slots,
                 started_ms=started_ms,
             )
         )
 
+    @rule(zones=st.sets(st.sampled_from(ZONES)))
+    def evacuate(self, zones):
+        self.evacuated = zones
+        self.service.set_evacuated_zones(zones)
+
     @rule(server_id=IDS)
     def drain(self, server_id):
         before = self.known.get(server_id)
@@ -144,7 +152,9 @@
         accepting = {
             key: server
             for key, server in self.known.items()
-            if not server.draining and server.incarnation not in self.leaving
+            if not server.draining
+            and server.incarnation not in self.leaving
+            and server.zone not in self.evacuated
         }
         assert offered.keys() == accepting.keys()
         assert sum(map(len, self.service.pools_by_service.values())) == len(accepting)
@@ -217,6 +227,36 @@
         return attempt
 
 
+class TestEvacuation:
+    def test_attempts_that_wait_are_withdrawn_and_those_sent_go_on(self):
+        """Guards against queued requests that reach a server after its zone was evacuated."""
+        running = RunningServers()
+        pool = running.pool()
+        attempts = [running.submit(number) for number in range(DEFAULT_CONNECTION_LIMIT + 2)]
+        running.service.set_evacuated_zones({SERVER.zone})
+        assert [outcome.end for outcome in running.outcomes] == [ExchangeEnd.WITHDRAWN] * 2
+        assert {outcome.detail for outcome in running.outcomes} == {
+            "the zone of the server is evacuated"
+        }
+        assert not any(attempt.cancelled for attempt in attempts)
+        # A request may have chosen the pool just before; its attempt is not sent.
+        connection = ServerConnection(address=SERVER.address)
+        outcome = pool.run_attempt(connection, attempts[0])
+        assert (outcome.end, outcome.ran) == (ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN)
+        assert connection.http.call_number == 0
+
+    def test_the_servers_are_used_again_at_the_end(self):
+        """Guards against a zone that gets no requests after its evacuation was taken back."""
+        running = RunningServers()
+        told = []
+        running.service.evacuation_listeners.append(lambda *change: told.append(change))
+        running.service.set_evacuated_zones({SERVER.zone})
+        assert running.service.pools_by_service == {}
+        running.service.set_evacuated_zones(set())
+        assert running.pool().state.accepts_requests(time.monotonic())
+        assert told == [(SERVER.zone, True), (SERVER.zone, False)]
+
+
 class TestNotices:
     @pytest.mark.parametrize("notice", [ServerNotice(leaving=True), ServerNotice(quiet_s=5.0)])
     def test_attempts_that_wait_for_a_connection_are_withdrawn(self, notice):
