Emulate the evacuation of a zone under load

Change: patterns in which one of three zones is evacuated in calm, under twice the load, in the wide deployment, and as the only zone with servers of some shards. Hosts learn of it within a second; attempts that reach the zone later are counted. The tests fail if hosts ignore the begin or the end.

--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from random import Random
 
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
 from rhubarbway_emulator.clock import VirtualClock
-from rhubarbway_emulator.hosts import EmulatedHost, HostConfig
-from rhubarbway_emulator.patterns import Pattern, RequestKind
+from rhubarbway_emulator.hosts import NOTICE_SLACK_S, EmulatedHost, HostConfig
+from rhubarbway_emulator.patterns import Evacuation, Pattern, RequestKind
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
 
 # One-way delay between caller and host; the caller's latency includes both ways.
@@ -19,6 +20,8 @@
 # Interval of the gossip about slow servers, and its propagation delay, seconds.
 REPORT_INTERVAL_S = 0.5
 REPORT_DELAY_S = 1.0
+# Longest time until a host learns of a change of the store, seconds.
+FEED_DELAY_S = 1.0
 # Reported latency of a run without any answer.
 NO_ANSWER_LATENCY_S = float("inf")
 
@@ -34,6 +37,8 @@
         Number of answers with status 200 in which shards are missing, in time or late.
     refused : int
         Number of answers with status 503.
+    refusal_latencies : list of float
+        Latencies of these answers, seconds.
     latencies : list of float
         Latencies of the answers with status 200, seconds; one after the deadline does not count.
     total_value : float
@@ -45,6 +50,7 @@
         "in_time",
         "latencies",
         "partial",
+        "refusal_latencies",
         "refused",
         "request_count",
         "total_value",
@@ -57,6 +63,7 @@
         self.refused = 0
         self.total_value = 0.0
         self.latencies: list[float] = []
+        self.refusal_latencies: list[float] = []
 
     def record(
         self, kind: RequestKind, shards: int, answer: ForwardedAnswer | None, latency_s: float
@@ -64,7 +71,9 @@
         """Count the answer to one request, or None if the caller has left."""
         self.request_count += 1
         if answer is None or answer.status != 200 or latency_s > kind.deadline_s:
-            self.refused += answer is not None and answer.status == 503
+            if answer is not None and answer.status == 503:
+                self.refused += 1
+                self.refusal_latencies.append(latency_s)
             return
         self.latencies.append(latency_s)
         self.partial += answer.missing_shards > 0
@@ -95,6 +104,7 @@
         "arrived_attempts",
         "by_kind",
         "cross_zone_attempts",
+        "evacuated_attempts",
         "first_attempts",
         "new_connections",
         "unwanted_attempts",
@@ -108,8 +118,10 @@
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
-        # Attempts that reached a server against its own notice.
+        # Attempts that reached a server against its own notice, and those that reached one of an
+        # evacuated zone.
         self.unwanted_attempts = 0
+        self.evacuated_attempts = 0
 
     @property
     def mean_value(self) -> float:
@@ -205,6 +217,9 @@
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
     schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
     result = RunResult(kinds=pattern.kinds)
+    if pattern.evacuation is not None:
+        schedule_evacuation(clock, hosts, pattern.evacuation, random)
+        count_evacuated_attempts(clock, servers, pattern.evacuation, result)
     routes = build_routes(pattern)
     for kind in pattern.kinds:
         for at in arrival_times(kind, pattern, random):
@@ -247,6 +262,37 @@
     clock.call_at(REPORT_INTERVAL_S, publish)
 
 
+def schedule_evacuation(
+    clock: VirtualClock, hosts: Sequence[EmulatedHost], evacuation: Evacuation, random: Random
+) -> None:
+    """Schedule when each host learns of the begin and of the end of an evacuation."""
+    for host in hosts:
+        begins_at = evacuation.begin_s + random.random() * FEED_DELAY_S
+        ends_at = evacuation.end_s + random.random() * FEED_DELAY_S
+        clock.call_at(begins_at, partial(host.begin_evacuation, evacuation.zone))
+        clock.call_at(ends_at, partial(host.end_evacuation, evacuation.zone))
+
+
+def count_evacuated_attempts(
+    clock: VirtualClock,
+    servers: Mapping[str, Sequence[EmulatedServer]],
+    evacuation: Evacuation,
+    result: RunResult,
+) -> None:
+    """Schedule the count of the attempts that reach the zone once all hosts know better."""
+
+    def count(sign: int) -> None:
+        result.evacuated_attempts += sign * sum(
+            server.arrival_count
+            for shard_servers in servers.values()
+            for server in shard_servers
+            if server.server.zone == evacuation.zone
+        )
+
+    clock.call_at(evacuation.begin_s + FEED_DELAY_S + NOTICE_SLACK_S, lambda: count(-1))
+    clock.call_at(evacuation.end_s, lambda: count(1))
+
+
 def caller_task(
     *, host: EmulatedHost, kind: RequestKind, route: Route, result: RunResult
 ) -> Callable[[], None]:
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -323,7 +323,9 @@
         )
         self.context = ForwardingContext(
             pools_of=lambda service: [
-                pool for pool in self.pools.get(service, []) if not pool.state.leaving
+                pool
+                for pool in self.pools.get(service, [])
+                if not (pool.state.leaving or pool.state.evacuated)
             ],
             zone=zone,
             budget=SharedRetryBudget(budget=budget),
@@ -340,6 +342,25 @@
             clock=clock.time,
         )
 
+    def begin_evacuation(self, zone: str) -> None:
+        """Stop using the servers of a zone."""
+        for pools in self.pools.values():
+            for pool in pools:
+                if pool.server.zone == zone:
+                    pool.state.evacuated = True
+
+    def end_evacuation(self, zone: str) -> None:
+        """Use the servers of a zone again, through new pools."""
+        for pools in self.pools.values():
+            pools[:] = [
+                (
+                    EmulatedPool(host=self, emulated_server=pool.emulated_server)
+                    if pool.server.zone == zone
+                    else pool
+                )
+                for pool in pools
+            ]
+
     def server_states(self) -> list[ServerState]:
         """Return the state of each server as this host has observed it."""
         return [pool.state for pools in self.pools.values() for pool in pools]
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -193,6 +193,17 @@
     return phases
 
 
+class Evacuation:
+    """Period in which the servers of a zone are to get no requests."""
+
+    __slots__ = ("begin_s", "end_s", "zone")
+
+    def __init__(self, *, zone: str, begin_s: float, end_s: float) -> None:
+        self.zone = zone
+        self.begin_s = begin_s
+        self.end_s = end_s
+
+
 class Pattern:
     """Load of callers on a deployment, and the faults of its servers.
 
@@ -209,6 +220,8 @@
         Duration of the periodic pauses of each server, and time between their starts.
     burst : tuple of (float, float, float)
         Begin and end of a period with a higher request rate, seconds, and the factor of the rate.
+    evacuation : Evacuation or None
+        Evacuation of a zone, which each host learns of within a second.
     strong_hosts, strong_cores : int, float
         Number of hosts in each zone that have a larger processor, and their cores.
     send_cpu_s, reply_cpu_s : float
@@ -223,6 +236,7 @@
     __slots__ = (
         "burst",
         "duration_s",
+        "evacuation",
         "faults",
         "kinds",
         "pause_interval_s",
@@ -253,6 +267,7 @@
         pause_interval_s: float = 4.5,
         faults: FaultPhases = no_faults,
         burst: tuple[float, float, float] = (NEVER, NEVER, 1.0),
+        evacuation: Evacuation | None = None,
         duration_s: float = 20.0,
         send_cpu_s: float = 0.0004,
         reply_cpu_s: float = 0.0004,
@@ -274,6 +289,7 @@
         self.pause_interval_s = pause_interval_s
         self.faults = faults
         self.burst = burst
+        self.evacuation = evacuation
         self.duration_s = duration_s
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -343,6 +359,25 @@
         title="one server of each of six shards announces that it leaves, and ends 5 s later",
         faults=leaving_servers(shards=range(6), begin_s=6.0, serve_s=5.0),
     ),
+    "evacuated-zone": Pattern(
+        title="one of three zones is evacuated for 8 s",
+        evacuation=Evacuation(zone="z0", begin_s=6.0, end_s=14.0),
+    ),
+    "evacuated-zone-burst": Pattern(
+        title="one of three zones is evacuated for 8 s, and twice the request rate for 5 s of them",
+        evacuation=Evacuation(zone="z0", begin_s=6.0, end_s=14.0),
+        burst=(8.0, 13.0, 2.0),
+    ),
+    "evacuated-last-zone": Pattern(
+        title="the zone with the only servers of four of ten shards is evacuated for 8 s",
+        evacuation=Evacuation(zone="z0", begin_s=6.0, end_s=14.0),
+        server_zones=1,
+    ),
+    "wide-evacuated-zone": Pattern(
+        title="36 shards and 90 hosts, one of three zones is evacuated for 8 s",
+        evacuation=Evacuation(zone="z0", begin_s=6.0, end_s=14.0),
+        **WIDE_DEPLOYMENT,
+    ),
     "wide-refusing-servers": Pattern(
         title="36 shards, half of the servers refuse 60 % of their requests for 8 s",
         faults=refusing_servers(server_share=0.5, refusal_probability=0.6, begin_s=6.0, end_s=14.0),
--- a/src/rhubarbway_emulator/tests/test_patterns.py
+++ b/src/rhubarbway_emulator/tests/test_patterns.py
@@ -58,6 +58,40 @@
         assert result.mean_value >= TARGET_VALUE
 
 
+class TestEvacuation:
+    @pytest.mark.parametrize(
+        "name", ["evacuated-zone", "evacuated-zone-burst", "wide-evacuated-zone"]
+    )
+    def test_the_other_zones_carry_the_load(self, result_of, name):
+        """Guards against requests to an evacuated zone, and against requests that are refused or
+        late although the servers of the other zones have room for them.
+        """
+        result = result_of(name)
+        assert result.evacuated_attempts == 0
+        assert result.mean_value >= TARGET_VALUE
+        assert all(kind.refused == 0 for kind in result.by_kind.values())
+
+    def test_the_servers_are_used_again_afterwards(self, result_of):
+        """Guards against a zone whose servers stay unused after the end of its evacuation."""
+        evacuated, calm = result_of("evacuated-zone"), result_of("calm")
+        share = evacuated.cross_zone_attempts / evacuated.arrived_attempts
+        calm_share = calm.cross_zone_attempts / calm.arrived_attempts
+        # The zone has 4 of the 9 hosts, whose requests go elsewhere for 8 s and one of feed delay.
+        assert share - calm_share <= 4 / 9 * 9.0 / PATTERNS["evacuated-zone"].duration_s
+
+    def test_requests_without_enough_servers_are_refused_at_once(self, result_of):
+        """Guards against requests that wait for the last servers of a shard until their deadline.
+
+        The users ask for a refusal within a quarter of the target latency.
+        """
+        pattern, result = PATTERNS["evacuated-last-zone"], result_of("evacuated-last-zone")
+        assert result.evacuated_attempts == 0
+        for kind in pattern.kinds:
+            outcome = result.by_kind[kind.name]
+            assert outcome.refused > 0
+            assert max(outcome.refusal_latencies) <= kind.target_latency_s / 4
+
+
 class TestLargeFleet:
     # Share of the answers in time that the users' fourth letter asks for on a quiet day.
     IN_TIME = {"sweep": 0.97, "alert": 0.95}
