--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -29,7 +29,7 @@
     STORE_FAULTS,
     PlannedFault,
 )
-from rhubarbway_standins.soak.testbed import Drain
+from rhubarbway_standins.soak.testbed import Withdrawal
 
 # Faults that suspend a host.
 PAUSES = frozenset({"host_pause"})
@@ -40,8 +40,8 @@
 )
 # Limit for a killed host to start again and read what it needs, seconds.
 MAX_RESTART_S = 1.0
-# Limits for hosts to stop sending to a draining server, and to reach the store again after a fault,
-# seconds.
+# Limits for hosts to stop sending to a server that drains or is evacuated, and to reach the store
+# again after a fault, seconds.
 MAX_DRAIN_DELAY_S = 3.0
 MAX_STORE_RECOVERY_S = 4.0
 # Statuses that guarantee that a request has not run and will not run.
@@ -51,19 +51,21 @@
 
 
 class RunRecord:
-    """Records of a run: requests by id, arrivals at servers by request id, drains, and faults.
+    """Records of a run: requests by id, arrivals at servers by request id, and faults.
+
+    ``withdrawals`` are the periods in which servers were to get no requests.
 
     Times of faults are relative to ``started_at``; all others are ``time.monotonic()`` instants.
     """
 
     __slots__ = (
         "arrivals",
-        "drains",
         "faults",
         "requests",
         "shards",
         "started_at",
         "unexpected_requests",
+        "withdrawals",
     )
 
     def __init__(
@@ -72,13 +74,13 @@
         requests: Iterable[CallerRequest],
         arrivals: Iterable[Arrival],
         shards: list[str],
-        drains: Iterable[Drain] = (),
+        withdrawals: Iterable[Withdrawal] = (),
         faults: Iterable[PlannedFault] = (),
         started_at: float = 0.0,
         unexpected_requests: Iterable[str] = (),
     ) -> None:
         self.unexpected_requests = list(unexpected_requests)
-        self.drains = list(drains)
+        self.withdrawals = list(withdrawals)
         self.faults = list(faults)
         self.started_at = started_at
         self.requests = {request.request_id: request for request in requests}
@@ -238,23 +240,27 @@
             )
 
 
-def check_drained_servers(record: RunRecord) -> Iterable[str]:
-    """Check that a draining server soon gets no more requests, if hosts can know of the drain."""
-    for drain in record.drains:
+def check_withdrawn_servers(record: RunRecord) -> Iterable[str]:
+    """Check that servers that drain or are evacuated soon get no more requests.
+
+    Only periods in which hosts can know of that are checked.
+    """
+    for withdrawal in record.withdrawals:
+        latest = withdrawal.started_at + MAX_DRAIN_DELAY_S
         for arrivals in record.arrivals.values():
             for arrival in arrivals:
-                is_late = drain.started_at + MAX_DRAIN_DELAY_S < arrival.arrived_at < drain.ended_at
-                if arrival.server != drain.server or not is_late:
+                is_late = latest < arrival.arrived_at < withdrawal.ended_at
+                if arrival.server != withdrawal.server or not is_late:
                     continue
                 if record.had_no_fault(
-                    drain.started_at - MAX_STORE_RECOVERY_S,
+                    withdrawal.started_at - MAX_STORE_RECOVERY_S,
                     arrival.arrived_at,
                     kinds=UPDATE_DELAYING_FAULTS,
                 ):
                     yield (
-                        f"{arrival.request_id} reached {drain.server} "
-                        f"{arrival.arrived_at - drain.started_at:.2f} s after it began to drain; "
-                        f"the limit is {MAX_DRAIN_DELAY_S} s"
+                        f"{arrival.request_id} reached {withdrawal.server} "
+                        f"{arrival.arrived_at - withdrawal.started_at:.2f} s after it was to get "
+                        f"no more requests; the limit is {MAX_DRAIN_DELAY_S} s"
                     )
 
 
@@ -282,7 +288,7 @@
     "bounded attempts": check_attempt_limit,
     "answered in time": check_deadlines,
     "kept connections": check_connections,
-    "drained servers": check_drained_servers,
+    "withdrawn servers": check_withdrawn_servers,
     "only answers": check_only_answers,
 }
 
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -4,14 +4,14 @@
 
 import signal
 import socket
-import time
 from collections.abc import Callable
 
 from rhubarbway.edge.json_codec import encode_json
 from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE
 from rhubarbway_standins.platform.gateways import settings_document
+from rhubarbway_standins.platform.site import ZONES
 from rhubarbway_standins.platform.store import StoreMode
-from rhubarbway_standins.soak.testbed import Drain, SoakTestbed
+from rhubarbway_standins.soak.testbed import SoakTestbed
 
 # Header whose value is encoded in UTF-8; HTTP permits such bytes in values.
 NOT_ASCII_HEADER = "X-Origin: Timișoara, Brăila é\r\n".encode()
@@ -174,17 +174,32 @@
     replica = testbed.site.replicas[target_index]
     replica.draining = True
     testbed.register_server(target_index)
-    drain = Drain(server=replica.server_id, started_at=time.monotonic())
-    testbed.drains.append(drain)
+    end_withdrawal = testbed.begin_withdrawal([replica.server_id])
 
     def end() -> None:
-        drain.ended_at = time.monotonic()
+        end_withdrawal()
         replica.draining = False
         testbed.register_server(target_index)
 
     return end
 
 
+def zone_evacuated(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Ask for the evacuation of a zone, and take it back at the end."""
+    zone = ZONES[target_index]
+    key = f"op/evacuate/{zone}"
+    testbed.site.store.put(key, b"{}")
+    end_withdrawal = testbed.begin_withdrawal(
+        replica.server_id for replica in testbed.site.replicas if replica.zone == zone
+    )
+
+    def end() -> None:
+        end_withdrawal()
+        testbed.site.store.delete(key)
+
+    return end
+
+
 def burst(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Make callers send without pauses, and burst callers send at all."""
     testbed.burst.set()
@@ -253,4 +268,5 @@
     "server_headers_not_ascii": server_headers_not_ascii,
     "burst": burst,
     "servers_hold": servers_hold,
+    "zone_evacuated": zone_evacuated,
 }
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -59,6 +59,12 @@
 SHARED_CORE_REMAINDER = 2
 SHARDS = 4
 SHARDS_ON_SHARED_CORES = 10
+# Every fourth seed has evacuations of zones. They last longer than hosts may take to learn of them.
+EVACUATION_KIND = "zone_evacuated"
+EVACUATION_PERIOD = 4
+EVACUATION_REMAINDER = 2
+MIN_EVACUATION_S = 4.0
+MAX_EVACUATION_S = 6.0
 STORE_FAULTS = {"store_refuses": 2, "store_silent": 2, "store_forgets": 1, "configuration": 4}
 
 
@@ -162,6 +168,32 @@
     return load
 
 
+def plan_evacuations(*, seed: int, duration_s: float, zones: int) -> list[PlannedFault]:
+    """Return the evacuations of a run, one zone at a time.
+
+    Examples
+    --------
+    >>> plan_evacuations(seed=1, duration_s=20.0, zones=2)
+    []
+    >>> {period.kind for period in plan_evacuations(seed=2, duration_s=20.0, zones=2)}
+    {'zone_evacuated'}
+    """
+    if seed % EVACUATION_PERIOD != EVACUATION_REMAINDER:
+        return []
+    random = Random(f"evacuations {seed}")
+    latest_end = duration_s - FAULT_FREE_END_S
+    evacuations: list[PlannedFault] = []
+    begin = FAULT_FREE_START_S
+    while begin + MIN_EVACUATION_S < latest_end:
+        end = min(begin + random.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S), latest_end)
+        zone = random.randrange(zones)
+        evacuations.append(
+            PlannedFault(kind=EVACUATION_KIND, target_index=zone, begin_s=begin, end_s=end)
+        )
+        begin = end + random.uniform(0.0, 1.0)
+    return evacuations
+
+
 def has_shared_cores(seed: int) -> bool:
     """Whether the hosts of a run share cores."""
     return seed % SHARED_CORE_PERIOD == SHARED_CORE_REMAINDER
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -11,8 +11,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from rhubarbway.edge.http_client import HttpConnection
+from rhubarbway.edge.json_codec import decode_json
+from rhubarbway.services.gateway_status import STATUS_PATH
 from rhubarbway_standins.platform.consumer import send_once
-from rhubarbway_standins.platform.site import VIRTUAL_HOST
+from rhubarbway_standins.platform.site import VIRTUAL_HOST, ZONES
 from rhubarbway_standins.soak.callers import Caller, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, broken_invariant_lines, find_problems
 from rhubarbway_standins.soak.faults import FAULTS, EndFault
@@ -21,6 +24,7 @@
     SHARDS_ON_SHARED_CORES,
     PlannedFault,
     has_shared_cores,
+    plan_evacuations,
     plan_faults,
     plan_load,
 )
@@ -102,6 +106,7 @@
             seed=seed, duration_s=duration_s, hosts=hosts, servers=len(testbed.site.replicas)
         )
         self.faults += plan_load(seed=seed, duration_s=duration_s)
+        self.faults += plan_evacuations(seed=seed, duration_s=duration_s, zones=len(ZONES))
         callers = CALLERS_PER_HOST * hosts
         self.callers = [
             Caller(
@@ -159,7 +164,7 @@
             requests=self.requests(),
             arrivals=arrivals,
             shards=self.testbed.site.shards,
-            drains=self.testbed.drains,
+            withdrawals=self.testbed.withdrawals,
             faults=self.faults,
             started_at=self.started_at,
             unexpected_requests=self.testbed.unexpected_requests(),
@@ -180,7 +185,10 @@
         return self.testbed.gateways.processes[host].log_path.read_text(errors="replace")
 
     def check_recovery(self) -> None:
-        """Check that after the last fault each host serves requests by the newest configuration."""
+        """Check that after the last fault each host serves requests by the newest configuration.
+
+        No host may keep an evacuation that was taken back.
+        """
         processes = self.testbed.gateways.processes
         self.problems += [
             f"host {host} is not running after the last fault; its log ends with: "
@@ -195,17 +203,33 @@
         with ThreadPoolExecutor(len(processes)) as executor:
             while outdated and time.monotonic() < deadline:
                 asked = list(outdated)
-                served = executor.map(self.serves_newest_version, asked)
+                recovered = executor.map(self.has_recovered, asked)
                 outdated -= {
-                    host for host, is_served in zip(asked, served, strict=True) if is_served
+                    host
+                    for host, has_recovered in zip(asked, recovered, strict=True)
+                    if has_recovered
                 }
                 time.sleep(POLL_INTERVAL_S if outdated else 0.0)
         self.problems += [
-            f"host {host} does not serve configuration version {self.testbed.site.version} "
-            f"{MAX_RECOVERY_S} s after its publication"
+            f"host {host} does not serve configuration version {self.testbed.site.version}, or "
+            f"still evacuates a zone, {MAX_RECOVERY_S} s after its publication"
             for host in outdated
         ]
 
+    def has_recovered(self, host: int) -> bool:
+        """Whether a host serves the newest configuration and evacuates no zone."""
+        return self.serves_newest_version(host) and not self.evacuated_zones(host)
+
+    def evacuated_zones(self, host: int) -> list[str]:
+        """Return the zones that a host considers evacuated."""
+        settings = self.testbed.gateways.settings[host]
+        connection = HttpConnection(address=f"127.0.0.1:{settings.metrics_port}")
+        try:
+            reply = connection.call("GET", STATUS_PATH, None, timeout_s=1.0)
+        finally:
+            connection.close()
+        return list(decode_json(reply.body)["evacuated_zones"])
+
     def serves_newest_version(self, host: int) -> bool:
         """Whether a host serves the route that only the newest configuration has."""
         address = self.testbed.gateways.addresses[host]
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -5,7 +5,7 @@
 import os
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 
 from rhubarbway_standins.fault_proxy import FaultProxy, Route
@@ -15,10 +15,10 @@
 from rhubarbway_standins.soak.plan import shared_cores
 
 
-class Drain:
-    """Period in which a server is draining; ``time.monotonic()`` instants.
+class Withdrawal:
+    """Period in which a server is to get no requests: it drains, or its zone is evacuated.
 
-    ``ended_at`` is infinite while the server is draining.
+    Times are ``time.monotonic()`` instants; ``ended_at`` is infinite until the period ends.
     """
 
     __slots__ = (
@@ -43,8 +43,8 @@
     ----------
     burst : threading.Event
         Set while callers send without pauses.
-    drains : list of Drain
-        Periods in which servers were draining.
+    withdrawals : list of Withdrawal
+        Periods in which servers were to get no requests.
     published_at : dict of int to float
         Instant at which each version of the configuration was published.
     stop_exit_codes : list of tuple of (int, int)
@@ -54,7 +54,6 @@
     __slots__ = (
         "bound_cores",
         "burst",
-        "drains",
         "gateways",
         "ports",
         "proxy",
@@ -63,6 +62,7 @@
         "site",
         "start_lock",
         "stop_exit_codes",
+        "withdrawals",
     )
 
     def __init__(
@@ -79,7 +79,7 @@
         self.site = Site(ports=self.ports, shards=shards)
         self.start_lock = threading.Lock()
         self.server_lock = threading.Lock()
-        self.drains: list[Drain] = []
+        self.withdrawals: list[Withdrawal] = []
         self.published_at: dict[int, float] = {}
         self.stop_exit_codes: list[tuple[int, int]] = []
         self.gateways = GatewayProcesses(
@@ -100,6 +100,7 @@
             seed=seed, hosts=hosts, cores=sorted(os.sched_getaffinity(0))
         )
         for number, settings in enumerate(self.gateways.settings):
+            settings.metrics_port = next(self.ports)
             settings.store = self.proxy.route_proxies[self.store_route_name(number)].route.listen
             self.gateways.processes[number] = self.gateways.make_process(settings)
 
@@ -142,6 +143,18 @@
         listen = self.proxy.route_proxies[self.server_route_name(server)].route.listen
         self.site.register(self.site.replicas[server], address=listen)
 
+    def begin_withdrawal(self, servers: Iterable[str]) -> Callable[[], None]:
+        """Record that servers are to get no requests; return the function that records the end."""
+        started_at = time.monotonic()
+        begun = [Withdrawal(server=server, started_at=started_at) for server in servers]
+        self.withdrawals += begun
+
+        def end() -> None:
+            for withdrawal in begun:
+                withdrawal.ended_at = time.monotonic()
+
+        return end
+
     def unexpected_requests(self) -> list[str]:
         """Return what hosts have sent to servers and to the store that is no request."""
         return [
--- a/src/rhubarbway_standins/soak/tests/test_checks.py
+++ b/src/rhubarbway_standins/soak/tests/test_checks.py
@@ -9,7 +9,7 @@
 from rhubarbway_standins.soak.callers import CALLER_LEFT, DEADLINE_MS, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, find_problems
 from rhubarbway_standins.soak.plan import PlannedFault
-from rhubarbway_standins.soak.testbed import Drain
+from rhubarbway_standins.soak.testbed import Withdrawal
 
 NOW = time.monotonic()
 
@@ -143,19 +143,27 @@
 
     def test_a_drained_server_gets_no_late_request(self):
         """Guards against missing late requests, and against failing those within the limit."""
-        drains = [Drain(server="i-1", started_at=NOW)]
+        withdrawals = [Withdrawal(server="i-1", started_at=NOW)]
         late = [make_arrival(after_s=3.5)]
-        assert failed_checks([make_request()], late, drains=drains) == {"drained servers"}
-        assert failed_checks([make_request()], [make_arrival(after_s=2.5)], drains=drains) == set()
+        assert failed_checks([make_request()], late, withdrawals=withdrawals) == {
+            "withdrawn servers"
+        }
+        assert (
+            failed_checks([make_request()], [make_arrival(after_s=2.5)], withdrawals=withdrawals)
+            == set()
+        )
 
     def test_a_drain_that_hosts_cannot_know_of_is_ignored(self):
         """Guards against reporting requests to a draining server when a store fault has kept hosts
         from learning of the drain."""
-        drains = [Drain(server="i-1", started_at=NOW)]
+        withdrawals = [Withdrawal(server="i-1", started_at=NOW)]
         faults = [PlannedFault(kind="store_silent", target_index=0, begin_s=-2.0, end_s=1.0)]
         assert (
             failed_checks(
-                [make_request()], [make_arrival(after_s=3.5)], drains=drains, faults=faults
+                [make_request()],
+                [make_arrival(after_s=3.5)],
+                withdrawals=withdrawals,
+                faults=faults,
             )
             == set()
         )
--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -5,6 +5,7 @@
 
 from rhubarbway_standins.soak.faults import FAULTS
 from rhubarbway_standins.soak.plan import (
+    EVACUATION_KIND,
     FAULT_FREE_END_S,
     FAULT_FREE_START_S,
     HOST_FAULTS,
@@ -14,6 +15,7 @@
     LOAD_KINDS,
     SERVER_FAULTS,
     STORE_FAULTS,
+    plan_evacuations,
     plan_faults,
     plan_load,
 )
@@ -35,7 +37,7 @@
         """Guards against a planned kind of fault that has no function to inject it."""
         planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
         planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS
-        assert FAULTS.keys() == planned.keys() | set(LOAD_KINDS)
+        assert FAULTS.keys() == planned.keys() | {*LOAD_KINDS, EVACUATION_KIND}
 
     def test_faults_overlap_and_come_in_series(self):
         """Guards against plans in which no faults overlap, or only those of different kinds."""
@@ -50,6 +52,21 @@
         assert any(first.kind == second.kind for first, second in overlapping)
 
 
+class TestEvacuations:
+    # What the checks of a run allow hosts until they know of an evacuation, seconds.
+    LIMIT_S = 3.0
+
+    @given(seed=st.integers(0, 10_000))
+    def test_they_last_long_enough_for_the_check_and_do_not_overlap(self, seed):
+        """Guards against evacuations that the checks never look at, and against an empty site."""
+        evacuations = plan_evacuations(seed=seed, duration_s=12.0, zones=2)
+        assert bool(evacuations) == (seed % 4 == 2)
+        ends = [FAULT_FREE_START_S, *(period.end_s for period in evacuations)]
+        for earlier_end, period in zip(ends, evacuations, strict=False):
+            assert earlier_end <= period.begin_s
+            assert period.begin_s + self.LIMIT_S < period.end_s <= 12.0 - FAULT_FREE_END_S
+
+
 class TestLoad:
     @given(seed=st.integers(0, 10_000))
     def test_bursts_come_several_times_and_do_not_overlap(self, seed):
--- a/src/rhubarbway_standins/soak/tests/test_run.py
+++ b/src/rhubarbway_standins/soak/tests/test_run.py
@@ -22,7 +22,7 @@
             site=SimpleNamespace(version=6),
         )
 
-    def serves_newest_version(self, host):
+    def has_recovered(self, host):
         self.all_asked.wait(timeout=0.5)
         return True
 
