--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -15,6 +15,7 @@
     100: "a paused host ends when it is resumed: sigtimedwait returns a signal that was not sent",
     # A failure of the soak itself, which must not start the process of the host twice.
     136: "a host is stopped and killed at the same time",
+    10: "zones are evacuated beside faults of servers and bursts",
     219: "a host ends because its settings change while it starts again",
 }
 LOAD_SEEDS = {
--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -22,22 +22,13 @@
     DEADLINE_MS,
     CallerRequest,
 )
-from rhubarbway_standins.soak.plan import (
-    HOST_FAULTS,
-    LATER_HOST_FAULTS,
-    LATER_STORE_FAULTS,
-    STORE_FAULTS,
-    PlannedFault,
-)
+from rhubarbway_standins.soak.plan import UPDATE_DELAYING_FAULTS, PlannedFault
 from rhubarbway_standins.soak.testbed import Withdrawal
 
 # Faults that suspend a host.
 PAUSES = frozenset({"host_pause"})
-# Faults after which a host may lose its open requests, and faults that may delay updates to hosts.
+# Faults after which a host may lose its open requests.
 ABRUPT_HOST_FAULTS = frozenset({"host_kill", "host_pause"})
-UPDATE_DELAYING_FAULTS = frozenset(
-    HOST_FAULTS | LATER_HOST_FAULTS | STORE_FAULTS | LATER_STORE_FAULTS
-)
 # Limit for a killed host to start again and read what it needs, seconds.
 MAX_RESTART_S = 1.0
 # Limits for hosts to stop sending to a server that drains or is evacuated, and to reach the store
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -66,6 +66,11 @@
 MIN_EVACUATION_S = 4.0
 MAX_EVACUATION_S = 6.0
 STORE_FAULTS = {"store_refuses": 2, "store_silent": 2, "store_forgets": 1, "configuration": 4}
+# Faults that may delay updates to hosts. Every other run with evacuations has none of them, so that
+# the time until hosts have learned of an evacuation is checked.
+UPDATE_DELAYING_FAULTS = frozenset(
+    HOST_FAULTS | LATER_HOST_FAULTS | STORE_FAULTS | LATER_STORE_FAULTS
+)
 
 
 class PlannedFault:
@@ -87,6 +92,17 @@
         return f"{self.begin_s:.2f}-{self.end_s:.2f} s {self.kind} {self.target_index}"
 
 
+def plan_run(
+    *, seed: int, duration_s: float, hosts: int, servers: int, zones: int
+) -> list[PlannedFault]:
+    """Return the faults, bursts and evacuations of a run."""
+    faults = plan_faults(seed=seed, duration_s=duration_s, hosts=hosts, servers=servers)
+    evacuations = plan_evacuations(seed=seed, duration_s=duration_s, zones=zones)
+    if evacuations and seed % (2 * EVACUATION_PERIOD) == EVACUATION_REMAINDER:
+        faults = [fault for fault in faults if fault.kind not in UPDATE_DELAYING_FAULTS]
+    return faults + plan_load(seed=seed, duration_s=duration_s) + evacuations
+
+
 def plan_faults(*, seed: int, duration_s: float, hosts: int, servers: int) -> list[PlannedFault]:
     """Return the faults of a run, sorted by begin; faults may overlap and come in series.
 
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -24,9 +24,7 @@
     SHARDS_ON_SHARED_CORES,
     PlannedFault,
     has_shared_cores,
-    plan_evacuations,
-    plan_faults,
-    plan_load,
+    plan_run,
 )
 from rhubarbway_standins.soak.testbed import SoakTestbed
 
@@ -102,11 +100,13 @@
         self.stopping = threading.Event()
         self.problems: list[str] = []
         hosts = len(testbed.gateways.addresses)
-        self.faults = plan_faults(
-            seed=seed, duration_s=duration_s, hosts=hosts, servers=len(testbed.site.replicas)
+        self.faults = plan_run(
+            seed=seed,
+            duration_s=duration_s,
+            hosts=hosts,
+            servers=len(testbed.site.replicas),
+            zones=len(ZONES),
         )
-        self.faults += plan_load(seed=seed, duration_s=duration_s)
-        self.faults += plan_evacuations(seed=seed, duration_s=duration_s, zones=len(ZONES))
         callers = CALLERS_PER_HOST * hosts
         self.callers = [
             Caller(
