--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -15,6 +15,7 @@
     from rhubarbway.services.forwarding import ForwardingService
     from rhubarbway.services.frontend import FrontendService
     from rhubarbway.services.gateway import GatewayService
+    from rhubarbway.services.gateway_status import GatewayStatus
     from rhubarbway.services.invariants import InvariantService
     from rhubarbway.services.log import LogService
     from rhubarbway.services.manifest import ManifestService
@@ -29,6 +30,7 @@
     from rhubarbway.services.servers import ServerService
     from rhubarbway.services.settings_reload import SettingsReload
     from rhubarbway.services.slices import SliceService
+    from rhubarbway.services.store_reader import StoreReader
     from rhubarbway.services.tokens import TokenService
 
 LOG: ServiceKey[LogService] = ServiceKey("log")
@@ -46,10 +48,12 @@
 ROUTING: ServiceKey[RoutingService] = ServiceKey("routing")
 SERVERS: ServiceKey[ServerService] = ServiceKey("servers")
 REGISTRY: ServiceKey[RegistryService] = ServiceKey("registry")
+STORE_READER: ServiceKey[StoreReader] = ServiceKey("store_reader")
 FORWARDING: ServiceKey[ForwardingService] = ServiceKey("forwarding")
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 DELEGATION: ServiceKey[DelegationService] = ServiceKey("delegation")
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
+GATEWAY_STATUS: ServiceKey[GatewayStatus] = ServiceKey("gateway_status")
 METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
 INVARIANTS: ServiceKey[InvariantService] = ServiceKey("invariants")
 # The key equals the component of the service's log lines, which operators search for.
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -4,12 +4,15 @@
 from threading import Thread
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rhubarbway.decisions.copy_freshness import STALE_FRACTION
 from rhubarbway.decisions.store_contact import StoreContact
 from rhubarbway.model import StoreItem
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
-from rhubarbway.services.registry import WATCH_WAIT_S, RegistryService
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.store_reader import WATCH_WAIT_S, StoreReader
 
 SERVER_COUNT = 60
 
@@ -21,8 +24,16 @@
         self.first_reader = False
         self.removed = []
         self.in_use = set()
+        # The zones that were evacuated while servers were first applied, and those that are now.
+        self.evacuated_at_first = None
+        self.evacuated = set()
+
+    def set_evacuated_zones(self, zones):
+        self.evacuated = set(zones)
 
     def update(self, changed, removed):
+        if self.evacuated_at_first is None:
+            self.evacuated_at_first = self.evacuated
         self.removed += removed
         self.in_use -= set(removed)
         self.in_use |= {server.id for server in changed}
@@ -77,15 +88,21 @@
 
     def __init__(self):
         self.recorder = ServiceRecorder()
-        self.registry = RegistryService(make_client=lambda: None)
+        self.registry = RegistryService()
         self.registry.servers = self.recorder
         self.registry.routing = self.recorder
-        self.registry.fleet = self.recorder
         self.apply_changes([entry(number) for number in range(SERVER_COUNT)], revision=100)
 
     def apply_changes(self, items, *, revision):
         self.registry.apply_store_changes(items, revision=revision, whole=False)
 
+    def reader(self, client):
+        """Return a reader of the store that fills this registry."""
+        reader = StoreReader(make_client=lambda: client)
+        reader.registry = self.registry
+        reader.fleet = self.recorder
+        return reader
+
 
 class TestDeletions:
     def test_deletions_of_a_few_servers_apply_at_once(self):
@@ -138,7 +155,7 @@
             for n in range(48)
         ]
         filled.apply_changes(returned, revision=400)
-        filled.registry.defer_deletions_until = float("-inf")
+        filled.registry.deferral.until = float("-inf")
         filled.apply_changes([], revision=401)
         assert filled.recorder.removed == []
 
@@ -146,19 +163,117 @@
         """Guards against deferred deletions that are never applied."""
         filled = FilledRegistry()
         filled.apply_changes([deletion(number) for number in range(48)], revision=200)
-        filled.registry.defer_deletions_until = float("-inf")
+        filled.registry.deferral.until = float("-inf")
         filled.apply_changes([], revision=201)
         assert len(filled.recorder.removed) == 48
 
     def test_after_an_outage_each_deletion_is_deferred(self):
         """Guards against the removal of a few servers whose entries lapsed during an outage."""
         filled = FilledRegistry()
-        filled.registry.contact = StoreContact.AWAY
-        filled.registry.record_store_answer()
+        reader = filled.reader(None)
+        reader.contact = StoreContact.AWAY
+        reader.record_store_answer()
         filled.apply_changes([deletion(5)], revision=200)
         assert filled.recorder.removed == []
 
 
+def evacuation(zone, revision):
+    return StoreItem(key=f"op/evacuate/{zone}", value=b"{}", revision=revision)
+
+
+def end_of(written, revision):
+    return StoreItem(key=written.key, value=None, revision=revision)
+
+
+class TestEvacuations:
+    def test_the_end_is_never_deferred(self):
+        """Guards against a zone that stays empty because entries may have lapsed in an outage."""
+        filled = FilledRegistry()
+        written = evacuation("z", 200)
+        filled.apply_changes([written], revision=200)
+        filled.registry.defer_deletions()
+        filled.apply_changes([deletion(5, revision=201), end_of(written, 202)], revision=202)
+        assert filled.recorder.evacuated == set() and filled.recorder.removed == []
+
+    def test_many_ends_at_once_defer_no_deletion(self):
+        """Guards against evacuation keys that pass for entries which lapsed in an outage."""
+        filled = FilledRegistry()
+        # The value of such a key says nothing, whatever it is.
+        written = [
+            StoreItem(
+                key=f"op/evacuate/z{number}", value=entry(number).value, revision=200 + number
+            )
+            for number in range(SERVER_COUNT)
+        ]
+        filled.apply_changes(written, revision=300)
+        ends = [end_of(item, 301 + number) for number, item in enumerate(written)]
+        filled.apply_changes([*ends, deletion(5, revision=400)], revision=400)
+        assert filled.recorder.evacuated == set() and filled.recorder.removed == ["i-5"]
+
+    def test_an_end_that_another_host_has_applied_defers_no_deletion(self):
+        """Guards against a new reader that keeps removed servers when it reads such an end."""
+        filled = FilledRegistry()
+        written = evacuation("z", 150)
+        filled.apply_changes([written], revision=150)
+        filled.registry.apply_changes(
+            [], revision=200, whole=False, complete=True, source="h", settled_revision=150
+        )
+        filled.apply_changes([end_of(written, 180), deletion(1, revision=210)], revision=210)
+        assert filled.recorder.removed == ["i-1"]
+
+    def test_a_list_of_the_store_begins_and_ends_evacuations(self):
+        """Guards against an evacuation that is missed or kept while the history is lost."""
+        filled = FilledRegistry()
+        filled.apply_changes([evacuation("old", 200)], revision=200)
+        listed = [*filled.registry.store_copy.items.values(), evacuation("new", 300)]
+        listed = [item for item in listed if item.key != "op/evacuate/old"]
+        filled.registry.defer_deletions()
+        filled.registry.apply_store_changes(listed, revision=300, whole=True)
+        assert filled.recorder.evacuated == {"new"}
+
+    def test_a_starting_host_knows_them_before_it_uses_servers(self):
+        """Guards against connections and requests to an evacuated zone when a host starts."""
+        recorder = ServiceRecorder()
+        registry = RegistryService()
+        registry.servers = registry.routing = recorder
+        items = [*(entry(number) for number in range(3)), evacuation("z", 200)]
+        registry.apply_changes(items, revision=200, whole=True, complete=True, source="h")
+        assert recorder.evacuated_at_first == {"z"} and len(recorder.in_use) == 3
+
+    @settings(max_examples=200, deadline=None)
+    @given(
+        ended=st.lists(st.booleans(), min_size=1, max_size=6),
+        order=st.randoms(use_true_random=False),
+        behind=st.integers(0, 6),
+    )
+    def test_no_order_of_changes_and_no_host_that_lags_leaves_a_wrong_set(
+        self, ended, order, behind
+    ):
+        """Guards against an evacuation that an older change or copy brings back or takes away."""
+        changes = []
+        for is_end in ended:
+            revision = 200 + len(changes)
+            written = evacuation("z", revision)
+            changes.append(end_of(written, revision) if is_end else written)
+        last = 199 + len(changes)
+        filled = FilledRegistry()
+        shuffled = list(changes)
+        order.shuffle(shuffled)
+        for item in shuffled:
+            filled.registry.apply_changes(
+                [item], revision=0, whole=False, complete=False, source="h"
+            )
+        filled.apply_changes(changes, revision=last)
+        lagging = FilledRegistry()
+        known = changes[:behind]
+        lagging.apply_changes(known, revision=199 + len(known))
+        copy = lagging.registry.wait_for_changes(after=None, wait_s=0.0)
+        filled.registry.apply_changes(
+            copy.items, revision=copy.revision, whole=True, complete=True, source="lagging"
+        )
+        assert filled.recorder.evacuated == (set() if ended[-1] else {"z"})
+
+
 class FakeStoreClient:
     """Client of a store that has no changes or does not answer; records the waits requested."""
 
@@ -174,12 +289,12 @@
 
 
 class TestWatch:
-    def watch_once(self, registry, client):
-        """Watch once as the task of the registry does; return the longest time it may take."""
+    def watch_once(self, reader, client):
+        """Watch once as the task of the reader does; return the longest time it may take."""
         try:
-            registry.watch_store()
+            reader.watch_store()
         except StoreError as error:
-            registry.record_store_failure(error)
+            reader.record_store_failure(error)
         return client.requested_waits_s[-1] + WATCH_MARGIN_S
 
     def test_the_return_of_an_unresponsive_store_is_detected_soon(self):
@@ -189,26 +304,26 @@
         and each waited 4.7 s for an answer. A configuration published in that time came into force
         later than the allowed 3 s.
         """
-        registry, client = FilledRegistry().registry, FakeStoreClient()
-        registry.client = client
-        registry.record_store_answer()
-        assert self.watch_once(registry, client) >= WATCH_WAIT_S
+        client = FakeStoreClient()
+        reader = FilledRegistry().reader(client)
+        reader.record_store_answer()
+        assert self.watch_once(reader, client) >= WATCH_WAIT_S
         client.is_unresponsive = True
-        self.watch_once(registry, client)
+        self.watch_once(reader, client)
         # The delay between two calls is at most 1.5 s.
-        assert self.watch_once(registry, client) <= 1.5
+        assert self.watch_once(reader, client) <= 1.5
         client.is_unresponsive = False
-        assert self.watch_once(registry, client) <= 1.5
-        assert self.watch_once(registry, client) >= WATCH_WAIT_S
+        assert self.watch_once(reader, client) <= 1.5
+        assert self.watch_once(reader, client) >= WATCH_WAIT_S
 
     def test_the_first_watch_of_a_new_reader_is_short(self):
         """Guards against a new reader that notices late that it cannot reach the store.
 
         It may have replaced readers that cannot reach the store, and be cut off like them.
         """
-        registry, client = FilledRegistry().registry, FakeStoreClient()
-        registry.client = client
-        assert self.watch_once(registry, client) <= 1.5
+        client = FakeStoreClient()
+        reader = FilledRegistry().reader(client)
+        assert self.watch_once(reader, client) <= 1.5
 
     def test_a_watch_begun_before_an_outage_ends_before_bounds_hold_again(self):
         """Guards against an unanswered watch that still waits 4 s after the end of an outage.
@@ -287,12 +402,12 @@
     def test_the_first_reader_is_answered_often_enough_to_confirm_all_copies(self):
         """Guards against copies that count as stale between two watches."""
         filled = FilledRegistry()
-        registry, client = filled.registry, FakeStoreClient()
-        registry.client = client
+        client = FakeStoreClient()
+        reader = filled.reader(client)
         filled.recorder.first_reader = True
-        registry.record_store_answer()
-        registry.watch_store()
-        assert client.requested_waits_s[-1] < STALE_FRACTION * registry.apply_limit_s
+        reader.record_store_answer()
+        reader.watch_store()
+        assert client.requested_waits_s[-1] < STALE_FRACTION * filled.registry.apply_limit_s
 
     def test_a_newer_confirmation_reaches_waiting_followers_at_once(self):
         """Guards against a copy that seems older at each host between it and the store."""
@@ -329,7 +444,7 @@
         assert registry.watch_start() == start < registry.store_copy.revision
         filled.apply_changes([deletion(1, revision=190)], revision=200)
         assert filled.recorder.removed == [] and registry.store_copy.settled_revision == start
-        registry.defer_deletions_until = 0.0
+        registry.deferral.until = 0.0
         filled.apply_changes([], revision=201)
         assert filled.recorder.removed == ["i-1"]
         assert registry.store_copy.settled_revision == 201
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -59,7 +59,18 @@
 SHARED_CORE_REMAINDER = 2
 SHARDS = 4
 SHARDS_ON_SHARED_CORES = 10
+# Every fourth seed has evacuations of zones. They last longer than hosts may take to learn of them.
+EVACUATION_KIND = "zone_evacuated"
+EVACUATION_PERIOD = 4
+EVACUATION_REMAINDER = 2
+MIN_EVACUATION_S = 4.0
+MAX_EVACUATION_S = 6.0
 STORE_FAULTS = {"store_refuses": 2, "store_silent": 2, "store_forgets": 1, "configuration": 4}
+# Faults that may delay updates to hosts. Every other run with evacuations has none of them, so that
+# the time until hosts have learned of an evacuation is checked.
+UPDATE_DELAYING_FAULTS = frozenset(
+    HOST_FAULTS | LATER_HOST_FAULTS | STORE_FAULTS | LATER_STORE_FAULTS
+)
 
 
 class PlannedFault:
@@ -81,6 +92,17 @@
         return f"{self.begin_s:.2f}-{self.end_s:.2f} s {self.kind} {self.target_index}"
 
 
+def plan_run(
+    *, seed: int, duration_s: float, hosts: int, servers: int, zones: int
+) -> list[PlannedFault]:
+    """Return the faults, bursts and evacuations of a run."""
+    faults = plan_faults(seed=seed, duration_s=duration_s, hosts=hosts, servers=servers)
+    evacuations = plan_evacuations(seed=seed, duration_s=duration_s, zones=zones)
+    if evacuations and seed % (2 * EVACUATION_PERIOD) == EVACUATION_REMAINDER:
+        faults = [fault for fault in faults if fault.kind not in UPDATE_DELAYING_FAULTS]
+    return faults + plan_load(seed=seed, duration_s=duration_s) + evacuations
+
+
 def plan_faults(*, seed: int, duration_s: float, hosts: int, servers: int) -> list[PlannedFault]:
     """Return the faults of a run, sorted by begin; faults may overlap and come in series.
 
@@ -162,6 +184,32 @@
     return load
 
 
+def plan_evacuations(*, seed: int, duration_s: float, zones: int) -> list[PlannedFault]:
+    """Return the evacuations of a run, one zone at a time.
+
+    Examples
+    --------
+    >>> plan_evacuations(seed=1, duration_s=20.0, zones=2)
+    []
+    >>> {period.kind for period in plan_evacuations(seed=2, duration_s=20.0, zones=2)}
+    {'zone_evacuated'}
+    """
+    if seed % EVACUATION_PERIOD != EVACUATION_REMAINDER:
+        return []
+    random = Random(f"evacuations {seed}")
+    latest_end = duration_s - FAULT_FREE_END_S
+    evacuations: list[PlannedFault] = []
+    begin = FAULT_FREE_START_S
+    while begin + MIN_EVACUATION_S < latest_end:
+        end = min(begin + random.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S), latest_end)
+        zone = random.randrange(zones)
+        evacuations.append(
+            PlannedFault(kind=EVACUATION_KIND, target_index=zone, begin_s=begin, end_s=end)
+        )
+        begin = end + random.uniform(0.0, 1.0)
+    return evacuations
+
+
 def has_shared_cores(seed: int) -> bool:
     """Whether the hosts of a run share cores."""
     return seed % SHARED_CORE_PERIOD == SHARED_CORE_REMAINDER
