Limit the requests to cold servers over all hosts, and use subsets of connections

Cause: a cold server crashes above the rate that its service states, and nothing limited it: warm_up_rates was read and not used, a change of an entry's warm-up was ignored, and X-Warmup-Ms was not decoded. Each host could open a connection to each server beyond the server's cap. Change: decisions.warm_up gives each host its part of the limit of a cold server, by rendezvous hash over the hosts of the server's zone that it remembers (decisions.host_history); a host that has started takes part once its membership has been complete for 12 s. ServerState and the last check before sending (ServerPool.run_attempt) enforce it; a changed entry or X-Warmup-Ms makes a server cold again. services.server_sharing applies both this and the connection subsets to the pools. Counters of attempts at cold servers and of resets of new connections, a gauge of cold servers, log lines.

--- a/src/rhubarbway/decisions/availability.py
+++ b/src/rhubarbway/decisions/availability.py
@@ -7,12 +7,12 @@
 from rhubarbway.decisions.server_state import ServerState
 
 
-def earliest_free_at(states: Iterable[ServerState]) -> float:
+def earliest_free_at(states: Iterable[ServerState], *, now: float) -> float:
     """Return the instant from which some server of a service takes requests.
 
-    -inf if one takes them now, infinite without a server.
+    At most ``now`` if one takes them now, infinite without a server.
     """
-    return min((state.quiet_until for state in states), default=float("inf"))
+    return min((state.free_at(now) for state in states), default=float("inf"))
 
 
 def possible_at(free_at: Sequence[float], *, is_enough: Callable[[int], bool]) -> float:
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Collection, Iterable
 
+from rhubarbway.decisions.warm_up import ColdRequestLimit, no_limit
 from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
 
 # Weight of the newest ratio in the exponentially weighted moving average (EWMA).
@@ -72,6 +73,10 @@
         Instant of the newest reply or report that changed the slowness.
     warm_at : float
         Instant from which the server counts as warm.
+    cold_limit : ColdRequestLimit
+        Limit of the requests of this host to the server before that instant.
+    is_reserve : bool
+        Whether this host uses the server only when the others of its service fail.
     max_connections : float
         Limit of connections from this host to the server; further attempts wait for a free one.
     is_first_hand : bool
@@ -85,12 +90,14 @@
     """
 
     __slots__ = (
+        "cold_limit",
         "ejected_until",
         "consecutive_ejections",
         "last_failure_at",
         "consecutive_failures",
         "observed_at",
         "is_first_hand",
+        "is_reserve",
         "leaving",
         "max_connections",
         "in_flight",
@@ -109,6 +116,8 @@
         self.is_first_hand = False
         self.max_connections = math.inf
         self.warm_at = now + server.warm_up_s
+        self.cold_limit = ColdRequestLimit(share=no_limit)
+        self.is_reserve = False
         self.consecutive_failures = 0
         self.last_failure_at = float("-inf")
         self.ejected_until = float("-inf")
@@ -118,8 +127,21 @@
         self.quiet_until = float("-inf")
 
     def accepts_requests(self, now: float) -> bool:
-        """Whether a request may be sent: the server does not leave and has not asked for quiet."""
-        return not self.leaving and now >= self.quiet_until
+        """Whether a request may be sent now.
+
+        The server does not leave, has not asked for quiet, and is warm or within its limit.
+        """
+        return not self.leaving and self.free_at(now) <= now
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the server has started, or has turned cold, only recently."""
+        return now < self.warm_at
+
+    def free_at(self, now: float) -> float:
+        """Return the instant from which a server that does not leave takes a request."""
+        if not self.is_cold(now):
+            return self.quiet_until
+        return max(self.quiet_until, min(self.warm_at, self.cold_limit.free_at(now)))
 
     def record_sent(self, attempt_number: int, now: float) -> None:
         """Add an attempt that was submitted to the pool; it may still wait for a connection."""
@@ -211,7 +233,7 @@
         queueing = max(0.0, len(self.in_flight) + 1 - self.max_connections) / self.max_connections
         load = 1.0 + len(self.in_flight) / slots + queueing
         processing_s = typical_s * self.current_slowness(now) * load
-        cold_penalty_s = COLD_PENALTY_FRACTION * typical_s if now < self.warm_at else 0.0
+        cold_penalty_s = COLD_PENALTY_FRACTION * typical_s if self.is_cold(now) else 0.0
         return (
             processing_s
             + (connect_cost_s if self.needs_connection else 0.0)
@@ -232,7 +254,7 @@
     now: float,
     jitter: dict[str, float] | None = None,
 ) -> list[ServerState]:
-    """Return the states by rising expected latency; ejected servers come last.
+    """Return the states by rising expected latency; reserve and then ejected servers come last.
 
     Parameters
     ----------
@@ -250,7 +272,7 @@
     """
     factors = jitter or {}
 
-    def sort_key(state: ServerState) -> tuple[bool, float]:
+    def sort_key(state: ServerState) -> tuple[bool, bool, float]:
         zone_cost_s = 0.0 if state.server.zone == zone else cross_zone_cost_s
         expected = state.expected_latency_s(
             typical_s=typical_s,
@@ -258,6 +280,7 @@
             connect_cost_s=connect_cost_s,
             now=now,
         )
-        return state.is_ejected(now), expected * factors.get(state.server.id, 1.0)
+        jittered = expected * factors.get(state.server.id, 1.0)
+        return state.is_ejected(now), state.is_reserve, jittered
 
     return sorted((state for state in states if state.server.id not in excluded), key=sort_key)
--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -44,6 +44,10 @@
     """Raised when a request cannot be encoded safely."""
 
 
+class ResetCallError(CallError):
+    """Raised when a call ends because the peer has reset the connection."""
+
+
 class ExchangeConnection:
     """A connection to one server by a socket and ``httptools``, used by one task.
 
@@ -178,7 +182,8 @@
     def disconnect_with_error(self, error: Exception) -> CallError:
         """Close the connection after a failure, and return the error to raise."""
         self.disconnect()
-        return CallError(
+        kind = ResetCallError if isinstance(error, ConnectionResetError) else CallError
+        return kind(
             str(error) or type(error).__name__,
             sent=self.sent,
             connecting=not self.sent,
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -113,9 +113,12 @@
         SERVERS,
         ServerService(
             codec=codec,
+            address=settings.peer_listen,
             zone=settings.zone,
             preconnects=not settings.first_start,
             cores=settings.cores,
+            warm_up_overshoot=settings.warm_up_overshoot,
+            warm_up_slack=settings.warm_up_slack,
         ),
     )
     servers.tasks.report_mismatch = mismatch_reporter(expect, side="server")
@@ -152,7 +155,11 @@
         servers.set_host_count,
         forwarding.budget.set_host_count,
         metrics.set_entry_hosts,
+        lambda _: servers.record_members(fleet.live_members),
     ]
+    servers.cold_attempt_listeners.append(metrics.shared_servers.count_cold_attempt)
+    servers.reset_listeners.append(metrics.shared_servers.count_reset)
+    metrics.shared_servers.count_cold_servers = servers.cold_server_count
     ip_address = settings.listen.rpartition(":")[0]
     kernel.register(
         METRICS_ENDPOINT, MetricsEndpoint(listen=f"{ip_address}:{settings.metrics_port}")
--- a/src/rhubarbway/model/server_notice.py
+++ b/src/rhubarbway/model/server_notice.py
@@ -16,10 +16,19 @@
     quiet_s : float or None
         Time for which the server wants no requests from this host, seconds; None if it states
         none.
+    warm_up_s : float or None
+        Time for which the server stays cold, seconds; None if it states none.
     """
 
-    __slots__ = ("leaving", "quiet_s")
+    __slots__ = ("leaving", "quiet_s", "warm_up_s")
 
-    def __init__(self, *, leaving: bool = False, quiet_s: float | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        leaving: bool = False,
+        quiet_s: float | None = None,
+        warm_up_s: float | None = None,
+    ) -> None:
         self.leaving = leaving
         self.quiet_s = quiet_s
+        self.warm_up_s = warm_up_s
--- a/src/rhubarbway/platform/headers.py
+++ b/src/rhubarbway/platform/headers.py
@@ -19,6 +19,8 @@
 LEAVING = "Server-Leaving"
 # In a 503 reply of a replica: how long it wants no requests from this host, seconds with fractions.
 RETRY_AFTER = "Retry-After"
+# In a reply of a replica that has just started or has turned cold: how long it stays cold, ms.
+WARM_UP_MS = "X-Warmup-Ms"
 # Signatures of the replies in a merged answer, and the number of shards that it lacks.
 SIGNATURES = "X-Part-Stamps"
 MISSING_SHARDS = "X-Missing-Shards"
--- a/src/rhubarbway/platform/replicas.py
+++ b/src/rhubarbway/platform/replicas.py
@@ -21,6 +21,7 @@
     REQUEST_ID,
     RETRY_AFTER,
     SIGNATURE,
+    WARM_UP_MS,
     connection_options,
     exclude_headers,
 )
@@ -29,6 +30,8 @@
 OVERLOADED_STATUS = 503
 # Longest idle timeout that is believed, seconds; no connection is idle for longer.
 MAX_IDLE_TIMEOUT_S = 86_400.0
+# Longest warm-up that is believed, seconds; see ``registry_entries.MAX_WARM_UP_MS``.
+MAX_WARM_UP_S = 86_400.0
 
 
 def request_header_lines(
@@ -82,28 +85,32 @@
     leaving = headers_by_name.get(LEAVING.lower(), "").strip() == "1"
     quiet_s = None
     if reply.status == OVERLOADED_STATUS:
-        quiet_s = parse_seconds(headers_by_name.get(RETRY_AFTER.lower(), ""))
-    return ServerNotice(leaving=leaving, quiet_s=quiet_s) if leaving or quiet_s else None
+        quiet_s = parse_positive(headers_by_name.get(RETRY_AFTER.lower(), ""))
+    warm_up_ms = parse_positive(headers_by_name.get(WARM_UP_MS.lower(), ""))
+    warm_up_s = None if warm_up_ms is None else min(warm_up_ms / 1000, MAX_WARM_UP_S)
+    if not (leaving or quiet_s or warm_up_s):
+        return None
+    return ServerNotice(leaving=leaving, quiet_s=quiet_s, warm_up_s=warm_up_s)
 
 
-def parse_seconds(value: str) -> float | None:
-    """Return a positive number of seconds, or None for any other text.
+def parse_positive(value: str) -> float | None:
+    """Return a positive number, or None for any other text.
 
     A time that is zero, negative, missing or unreadable asks for nothing. ``ServerNotices`` limits
     long ones.
 
     Examples
     --------
-    >>> parse_seconds("1.5"), parse_seconds("1e300"), parse_seconds("inf")
+    >>> parse_positive("1.5"), parse_positive("1e300"), parse_positive("inf")
     (1.5, 1e+300, inf)
-    >>> [parse_seconds(text) for text in ("0", "-2", "", "soon", "nan")]
+    >>> [parse_positive(text) for text in ("0", "-2", "", "soon", "nan")]
     [None, None, None, None, None]
     """
     try:
-        seconds = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return seconds if seconds > 0.0 and not math.isnan(seconds) else None
+    return number if number > 0.0 and not math.isnan(number) else None
 
 
 def parse_idle_timeout_s(keep_alive: str) -> float | None:
--- a/src/rhubarbway/services/arrival_checks.py
+++ b/src/rhubarbway/services/arrival_checks.py
@@ -17,7 +17,7 @@
     """Return a refusal if too few shards have a server that takes requests now, else None.
 
     It names the time at which enough of them do, if that is known: when servers that asked for no
-    requests want them again.
+    requests want them again, or when cold servers may get one more.
 
     Parameters
     ----------
@@ -32,7 +32,8 @@
 
     now = context.clock()
     free_at = [
-        earliest_free_at(pool.state for pool in context.pools_of(service)) for service in services
+        earliest_free_at((pool.state for pool in context.pools_of(service)), now=now)
+        for service in services
     ]
     instant = possible_at(free_at, is_enough=is_enough)
     if instant <= now:
@@ -40,7 +41,7 @@
     if instant == float("inf"):
         return refusal("too few servers are known", random=context.random)
     return refusal(
-        "too many servers have asked for no requests",
+        "too many servers are cold or have asked for no requests",
         random=context.random,
         retry_after_s=max(RETRY_AFTER_S, instant - now),
     )
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -14,6 +14,7 @@
 
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.latency_tally import LatencyTally
+from rhubarbway.services.shared_server_metrics import SharedServerMetrics
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 5.0]
 COVERAGE_BUCKETS = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999999, 1.0]
@@ -58,12 +59,16 @@
         "query_failures",
         "query_latency",
         "registry",
+        "shared_servers",
         "stopping",
         "unexpected_data",
     )
 
     def __init__(self) -> None:
         self.registry = Registry()
+        self.shared_servers = SharedServerMetrics(
+            registry=self.registry, queue_observation=self.queue_observation
+        )
         self.query_latency = Histogram(
             "rhubarbway_query_seconds",
             "Time from reading a query to its reply, by tenant and service.",
@@ -305,6 +310,7 @@
         queue.Empty
             If the task does not format them within 5 s.
         """
+        self.shared_servers.observe_scrape()
         done: queue.SimpleQueue[bytes] = queue.SimpleQueue()
         with self.condition:
             self.pending_scrapes.append(done)
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -11,7 +11,7 @@
 
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
-from rhubarbway.edge.exchange_connection import ExchangeConnection
+from rhubarbway.edge.exchange_connection import ExchangeConnection, ResetCallError
 from rhubarbway.edge.http_client import (
     CallError,
     Reply,
@@ -43,6 +43,11 @@
 EncodeRequest = Callable[..., list[str]]
 DecodeReply = Callable[[Reply, ForwardedRequest], ReplicaReply | None]
 DecodeNotice = Callable[[Reply], ServerNotice | None]
+ReportColdAttempt = Callable[..., None]
+
+
+def ignore_cold_attempt(server: BackendServer, *, is_sent: bool) -> None:
+    """Do nothing: nobody counts the attempts at cold servers."""
 
 
 def no_notice(reply: Reply) -> ServerNotice | None:
@@ -50,6 +55,10 @@
     return None
 
 
+def ignore_reset(server: BackendServer) -> None:
+    """Do nothing: nobody counts the resets of new connections."""
+
+
 class ServerCodec:
     """Encoder of requests to servers and decoder of their replies.
 
@@ -118,6 +127,12 @@
     acknowledgement_timeout_s : float or None
         Time in which the server must acknowledge the head of a request before the body is sent,
         seconds; None for servers that get the whole request at once.
+    report_reset : callable
+        Called with the server if it resets a connection before the first reply, as it does beyond
+        its connection cap.
+    report_cold_attempt : callable
+        Called for each attempt at a cold server with a limit: with the server, and whether it was
+        sent or withheld.
     side : str
         What the server is in the count of unexpected data: ``server`` or ``delegate``.
     """
@@ -134,6 +149,8 @@
         "log",
         "observe",
         "queued",
+        "report_cold_attempt",
+        "report_reset",
         "server",
         "side",
         "state",
@@ -151,8 +168,12 @@
         handle_notice: Callable[[ServerPool, ServerNotice], None],
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         acknowledgement_timeout_s: float | None = None,
+        report_reset: Callable[[BackendServer], None] = ignore_reset,
+        report_cold_attempt: ReportColdAttempt = ignore_cold_attempt,
         side: str = "server",
     ) -> None:
+        self.report_reset = report_reset
+        self.report_cold_attempt = report_cold_attempt
         self.side = side
         self.connect_timeout_s = connect_timeout_s
         self.acknowledgement_timeout_s = acknowledgement_timeout_s
@@ -203,6 +224,13 @@
         """Replace the registry's description of the server, which is still the same process."""
         with self.lock:
             self.server = self.state.server = server
+            # Any change of an entry states anew how long the server stays cold.
+            self.state.warm_at = time.monotonic() + server.warm_up_s
+
+    def set_cold_for(self, warm_up_s: float) -> None:
+        """Treat the server as cold for at least a time that it has stated itself, seconds."""
+        with self.lock:
+            self.state.warm_at = max(self.state.warm_at, time.monotonic() + warm_up_s)
 
     def mark_leaving(self) -> None:
         """Send nothing more to the server, and withdraw the attempts that were not sent yet."""
@@ -232,7 +260,11 @@
 
     def withdrawn_outcome(self, attempt: ServerAttempt) -> ExchangeOutcome:
         """Return the outcome of an attempt that is not sent because the server wants none."""
-        detail = "the server leaves" if self.state.leaving else "the server asked for quiet"
+        reasons = (
+            (self.state.leaving, "the server leaves"),
+            (time.monotonic() < self.state.quiet_until, "the server asked for quiet"),
+        )
+        detail = next((text for applies, text in reasons if applies), "the server is cold")
         return self.make_outcome(
             attempt, ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN, detail=detail
         )
@@ -241,6 +273,11 @@
         """End the tasks of idle connections; the others end when they become idle."""
         with self.lock:
             self.closed = True
+        self.end_idle_connections()
+
+    def end_idle_connections(self) -> None:
+        """End the tasks of idle connections."""
+        with self.lock:
             idle, self.idle = self.idle, []
             self.state.needs_connection = True
         for connection in idle:
@@ -356,8 +393,9 @@
             return self.make_outcome(
                 attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN, detail="no time left"
             )
-        if not self.state.accepts_requests(now):
+        if not self.try_acquire(now):
             return self.withdrawn_outcome(attempt)
+        is_new = not http.is_open
         attempt.call_number = http.reserve_call()
         # ``cancel`` depends on this order.
         attempt.connection = http
@@ -376,6 +414,8 @@
             )
         except CallError as error:
             connection.reusable_until = float("inf")
+            if is_new and isinstance(error, ResetCallError):
+                self.report_reset(self.server)
             return self.outcome_of_error(attempt, error)
         finally:
             attempt.connection = None
@@ -396,6 +436,17 @@
         )
         return self.outcome_of_reply(attempt, decoded)
 
+    def try_acquire(self, now: float) -> bool:
+        """Return whether a request may be sent now; count it if the server is cold."""
+        with self.lock:
+            accepts = self.state.accepts_requests(now)
+            is_limited = self.state.is_cold(now) and self.state.cold_limit.is_limited()
+            if accepts and is_limited:
+                self.state.cold_limit.record_sent(now)
+        if is_limited:
+            self.report_cold_attempt(self.server, is_sent=accepts)
+        return accepts
+
     def outcome_of_reply(self, attempt: ServerAttempt, reply: ReplicaReply) -> ExchangeOutcome:
         """Return the outcome of a call that got a complete reply."""
         if reply.misdirected:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from rhubarbway.decisions.fleet_view import DEFAULT_HOST_COUNT
+from rhubarbway.decisions.connection_subsets import USED_CONNECTION_FRACTION
+from rhubarbway.decisions.delegation import FanOutHost
+from rhubarbway.decisions.fleet_view import DEFAULT_HOST_COUNT, FleetMember
 from rhubarbway.decisions.preconnect import pools_to_preconnect, sharded_services
 from rhubarbway.decisions.server_notices import LeavingMark, ServerNotices
 from rhubarbway.decisions.slowness_reports import (
@@ -28,14 +30,14 @@
 from rhubarbway.services.names import ROUTING
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.server_pool import ServerCodec, ServerPool
+from rhubarbway.services.server_sharing import ServerSharing
 
 # Connection limit for each server of a service whose connection cap is not known yet.
 DEFAULT_CONNECTION_LIMIT = 2
-# Fraction of a server's connection cap that all entry hosts use together. The rest is left to
-# connections that are being closed, which still count at the server.
-USED_CONNECTION_FRACTION = 0.9
 
 Observer = Callable[[ServerAttempt, ExchangeOutcome], None]
+ColdAttemptListener = Callable[..., None]
+ResetListener = Callable[..., None]
 
 
 def connection_limit(connection_cap: int | None, host_count: int) -> int:
@@ -65,8 +67,8 @@
     ----------
     codec : ServerCodec
         Wire format of requests and replies.
-    zone : str
-        Zone of this host.
+    address, zone : str
+        Address for other hosts, and zone of this host.
     preconnects : bool
         Whether connections are opened before requests need them. False if the whole system starts:
         connections would then be idle for too long before the first request. The outcome of a
@@ -74,11 +76,14 @@
         table.
     cores : float
         Processor of this host in whole cores, which allows it more connections.
+    warm_up_overshoot, warm_up_slack : float
+        See ``GatewaySettings``.
     """
 
     __slots__ = (
         "pools_by_service",
         "codec",
+        "cold_attempt_listeners",
         "connection_caps",
         "cores",
         "fan_out_services",
@@ -91,8 +96,10 @@
         "pools",
         "preconnects",
         "random",
+        "reset_listeners",
         "runs_fan_outs",
         "servers",
+        "sharing",
         "slowness_reports",
         "tasks",
         "zone",
@@ -102,10 +109,22 @@
         self,
         *,
         codec: ServerCodec,
+        address: str = "",
         zone: str = "",
         preconnects: bool = False,
         cores: float = 0.0,
+        warm_up_overshoot: float = 1.0,
+        warm_up_slack: float = 0.0,
     ) -> None:
+        self.sharing = ServerSharing(
+            own=FanOutHost(address=address, zone=zone, cores=cores),
+            warm_up_overshoot=warm_up_overshoot,
+            warm_up_slack=warm_up_slack,
+        )
+        # Called with service and result (sent, withheld) of each attempt at a cold server.
+        self.cold_attempt_listeners: list[ColdAttemptListener] = []
+        # Called with the service of a server that has reset a new connection.
+        self.reset_listeners: list[ResetListener] = []
         self.cores = cores
         self.codec = codec
         self.zone = zone
@@ -150,8 +169,10 @@
         """Apply the connection caps and the shards of a new routing table."""
         with self.lock:
             self.connection_caps = dict(table.max_connections)
+            self.sharing.apply_table(table)
             self.fan_out_services = sharded_services(table.routes)
             self.apply_limits()
+            self.apply_servers()
             self.preconnect()
 
     def set_host_count(self, host_count: int) -> None:
@@ -167,6 +188,31 @@
             "Number of entry hosts changed.", hosts=host_count, connection_task_limit=limit
         )
 
+    def record_members(self, live_members: Callable[[], Iterable[FleetMember]]) -> None:
+        """Apply a changed membership to the servers that hosts share."""
+        now = time.monotonic()
+        if not self.sharing.is_record_due(now):
+            return
+        members = live_members()
+        with self.lock:
+            if not self.sharing.record_members(members, now=now):
+                return
+            counts_before = self.sharing.count_access()
+            self.apply_servers()
+            counts = self.sharing.count_access()
+        if counts != counts_before:
+            self.log.info(
+                "Servers chosen by the membership.", hosts=len(self.sharing.members), **counts
+            )
+
+    def cold_server_count(self) -> int:
+        """Return the number of servers in use that are cold and have a limit."""
+        now = time.monotonic()
+        return sum(
+            pool.state.is_cold(now) and pool.state.cold_limit.is_limited()
+            for pool in list(self.pools.values())
+        )
+
     def apply_limits(self) -> None:
         """Set the connection limit of all pools; the caller holds the lock."""
         for pool in self.pools.values():
@@ -200,12 +246,16 @@
                 pool = self.make_pool(server)
             elif pool.server is not server:
                 pool.update_server(server)
+                self.log_cold_server(pool)
             pools[server.incarnation] = pool
             pools_by_service.setdefault(server.service, []).append(pool)
         gone = [pool for key, pool in self.pools.items() if key not in pools]
         added = [pool.server.id for key, pool in pools.items() if key not in self.pools]
         self.pools = pools
-        self.pools_by_service = pools_by_service
+        self.pools_by_service = {
+            service: self.sharing.usable_pools(service, service_pools)
+            for service, service_pools in pools_by_service.items()
+        }
         if gone or added:
             self.log.info(
                 "Servers changed.",
@@ -242,6 +292,9 @@
                 self.log.info(
                     "Server asked for no requests.", server=server.id, for_s=round(until - now, 3)
                 )
+        if notice.warm_up_s is not None:
+            pool.set_cold_for(notice.warm_up_s)
+            self.log_cold_server(pool)
         if notice.leaving and not pool.state.leaving:
             # Also a pool that is no longer in use may have attempts that wait.
             pool.mark_leaving()
@@ -310,10 +363,39 @@
             tasks=self.tasks,
             observe=self.observe,
             handle_notice=self.handle_notice,
+            report_reset=self.report_reset,
+            report_cold_attempt=self.report_cold_attempt,
         )
         pool.state.quiet_until = self.notices.quiet_end(server.incarnation)
+        pool.state.cold_limit = self.sharing.cold_limit(server)
+        self.log_cold_server(pool)
         return pool
 
+    def log_cold_server(self, pool: ServerPool) -> None:
+        """Log how many requests this host may send to a server with a limit that is cold."""
+        now = time.monotonic()
+        if pool.state.is_cold(now) and pool.state.cold_limit.is_limited():
+            self.log.info(
+                "Server is cold.",
+                server=pool.server.id,
+                for_s=round(pool.state.warm_at - now, 3),
+                requests_per_s=pool.state.cold_limit.share(),
+                hosts_known=self.sharing.cold_shares.zone_hosts is not None,
+            )
+
+    def report_reset(self, server: BackendServer) -> None:
+        """Pass a reset of a new connection to the listeners."""
+        self.log.debug("Server reset a new connection.", server=server.id)
+        for listener in self.reset_listeners:
+            listener(service=server.service)
+
+    def report_cold_attempt(self, server: BackendServer, *, is_sent: bool) -> None:
+        """Pass an attempt at a cold server to the listeners; log one that was withheld."""
+        if not is_sent:
+            self.log.debug("Attempt at a cold server withheld.", server=server.id)
+        for listener in self.cold_attempt_listeners:
+            listener(service=server.service, result="sent" if is_sent else "withheld")
+
     def observe(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
         """Pass an outcome to the observers, and allow preconnecting from now on."""
         self.preconnects = True
