Emulate cold servers, and zones whose servers return cold

Cause: the limit of cold servers was tested host by host only. Change: an emulated server may be cold: it counts its arrivals and crashes at twice what it tolerates.

--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -8,6 +8,7 @@
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
 from rhubarbway_emulator.clock import VirtualClock
+from rhubarbway_emulator.cold_servers import busiest_cold_second, schedule_cold_servers
 from rhubarbway_emulator.hosts import EmulatedHost, HostConfig
 from rhubarbway_emulator.patterns import Pattern, RequestKind
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
@@ -93,7 +94,9 @@
 
     __slots__ = (
         "arrived_attempts",
+        "busiest_cold_second",
         "by_kind",
+        "cold_crashes",
         "cross_zone_attempts",
         "first_attempts",
         "new_connections",
@@ -105,6 +108,9 @@
         # Attempts that reached a server, attempts sent to another zone, and first attempts: one for
         # each shard of each request, whether or not it was sent.
         self.arrived_attempts = 0
+        # Greatest number of arrivals at a cold server in a second, and crashes of cold servers.
+        self.busiest_cold_second = 0
+        self.cold_crashes = 0
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
@@ -204,6 +210,9 @@
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
     schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
+    schedule_cold_servers(
+        hosts, servers, warm_up_rate=pattern.warm_up_rate, random=Random(random.random())
+    )
     result = RunResult(kinds=pattern.kinds)
     routes = build_routes(pattern)
     for kind in pattern.kinds:
@@ -216,6 +225,9 @@
     result.arrived_attempts = sum(
         server.arrival_count for shard_servers in servers.values() for server in shard_servers
     )
+    all_servers = [one for shard_servers in servers.values() for one in shard_servers]
+    result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
+    result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
     result.new_connections = sum(host.new_connections for host in hosts)
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -90,7 +90,15 @@
 class EmulatedPool:
     """Attempts of one host at one server, with the part of ``ServerPool`` that forwarding uses."""
 
-    __slots__ = ("asked_at", "emulated_server", "host", "idle_connections", "server", "state")
+    __slots__ = (
+        "asked_at",
+        "emulated_server",
+        "host",
+        "idle_connections",
+        "process_number",
+        "server",
+        "state",
+    )
 
     def __init__(self, *, host: EmulatedHost, emulated_server: EmulatedServer) -> None:
         self.idle_connections = 0
@@ -101,6 +109,8 @@
         self.server = emulated_server.server
         self.state = ServerState(server=emulated_server.server, now=host.clock.now)
         self.state.needs_connection = True
+        # The process of the server that this host knows.
+        self.process_number = 0
 
     def submit(self, attempt: ServerAttempt) -> None:
         """Send an attempt to the server."""
@@ -111,6 +121,28 @@
         self.host.new_connections += needs_connection
         EmulatedExchange(pool=self, attempt=attempt).send(needs_connection=needs_connection)
 
+    def apply_entry(self, *, warm_up_s: float) -> None:
+        """Apply a changed entry of the server, which may have been started again."""
+        now = self.host.clock.now
+        if self.process_number != self.emulated_server.process_number():
+            self.process_number = self.emulated_server.process_number()
+            self.idle_connections = 0
+            cold_limit = self.state.cold_limit
+            self.state = ServerState(server=self.server, now=now)
+            self.state.cold_limit = cold_limit
+            self.state.needs_connection = True
+        self.state.warm_at = now + warm_up_s
+
+    def try_acquire(self) -> bool:
+        """Return whether an attempt may leave now; count it if the server is cold."""
+        now = self.host.clock.now
+        if not (self.state.is_cold(now) and self.state.cold_limit.is_limited()):
+            return True
+        if not self.state.accepts_requests(now):
+            return False
+        self.state.cold_limit.record_sent(now)
+        return True
+
     def apply_notice(self, quiet_s: float) -> None:
         """Apply what the server states in a reply that this host has just read."""
         now = self.host.clock.now
@@ -169,14 +201,22 @@
         host.clock.call_at(self.attempt.deadline, self.time_out)
 
     def record_departure(self) -> None:
-        """Record the instant from which the attempt waits for the server."""
+        """Record the instant from which the attempt waits for the server.
+
+        It is withdrawn instead if the server is cold and gets no further request now.
+        """
         self.attempt.waiting_since = self.pool.host.clock.now
+        if not self.ended and not self.pool.try_acquire():
+            self.finish(ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN)
 
     def deliver_request(self) -> None:
         """Hand the request to the server, unless the exchange has ended."""
         if self.ended:
             return
         self.pool.check_notices()
+        if self.pool.process_number != self.pool.emulated_server.process_number():
+            self.schedule_end(ExchangeEnd.MISDIRECTED, ExecutionStatus.NOT_RUN)
+            return
         if not self.pool.emulated_server.accept(self.job):
             self.quiet_s = self.pool.emulated_server.quiet_s()
             self.schedule_end(ExchangeEnd.REFUSED, ExecutionStatus.NOT_RUN)
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
+from rhubarbway_emulator.cold_servers import WARM_UP_OVERSHOOT, WARM_UP_SLACK
 from rhubarbway_emulator.servers import FaultPhase
 
 # Begin and end of a burst that does not occur, seconds.
@@ -193,6 +194,55 @@
     return phases
 
 
+# Requests per second that a cold server of the patterns below tolerates.
+COLD_RATE = 2.0
+
+
+def zone_returns(
+    *, zone_count: int, begin_s: float, return_s: float, cold_s: float, slowdown: float = 1.6
+) -> FaultPhases:
+    """Return fault phases in which the servers of a zone are down and come back together, cold."""
+
+    def phases(shard: int, index: int) -> Sequence[FaultPhase]:
+        if (shard + index) % zone_count:
+            return ()
+        return [
+            FaultPhase(begin_s=begin_s, end_s=return_s, slowdown=float("inf")),
+            FaultPhase(
+                begin_s=return_s,
+                end_s=return_s + cold_s,
+                slowdown=slowdown,
+                tolerated_per_s=limit_of_cold_server(COLD_RATE),
+                is_restart=True,
+            ),
+        ]
+
+    return phases
+
+
+def servers_turn_cold(*, share: float, begin_s: float, cold_s: float) -> FaultPhases:
+    """Return fault phases in which a share of all servers turn cold while they serve."""
+
+    def phases(shard: int, index: int) -> Sequence[FaultPhase]:
+        if (shard * 37 + index * 61) % 100 >= share * 100:
+            return ()
+        return [
+            FaultPhase(
+                begin_s=begin_s,
+                end_s=begin_s + cold_s,
+                slowdown=1.6,
+                tolerated_per_s=limit_of_cold_server(COLD_RATE),
+            )
+        ]
+
+    return phases
+
+
+def limit_of_cold_server(rate: float) -> float:
+    """Return the requests in a second that all hosts may send to a cold server."""
+    return rate * WARM_UP_OVERSHOOT + WARM_UP_SLACK
+
+
 class Pattern:
     """Load of callers on a deployment, and the faults of its servers.
 
@@ -218,6 +268,8 @@
         Cores of the other hosts.
     retry_allowance : float
         See ``HostConfig``.
+    warm_up_rate : float or None
+        Requests per second that cold servers tolerate, as the hosts know it; None for no limit.
     """
 
     __slots__ = (
@@ -236,6 +288,7 @@
         "strong_cores",
         "strong_hosts",
         "title",
+        "warm_up_rate",
         "weak_cores",
         "zones",
     )
@@ -260,7 +313,9 @@
         strong_hosts: int = 0,
         strong_cores: float = 2.15,
         weak_cores: float = 1.07,
+        warm_up_rate: float | None = None,
     ) -> None:
+        self.warm_up_rate = warm_up_rate
         self.strong_hosts = strong_hosts
         self.strong_cores = strong_cores
         self.weak_cores = weak_cores
@@ -309,6 +364,10 @@
     "weak_cores": 0.516,
 }
 
+# 70 hosts, otherwise as ``WIDE_DEPLOYMENT``.
+SEVENTY_HOSTS = WIDE_DEPLOYMENT | {"zones": (24, 23, 23), "duration_s": 16.0}
+ZONE_RETURNS = {"begin_s": 4.0, "return_s": 7.0, "cold_s": 3.0}
+
 PATTERNS = {
     "calm": Pattern(title="servers that pause for 200 ms every 4.5 s"),
     "slow-servers": Pattern(
@@ -358,6 +417,29 @@
         faults=slow_servers(shards=range(0, 42, 3), slowdown=5.0, begin_s=4.0, end_s=10.0),
         **LARGE_DEPLOYMENT,
     ),
+    "zone-returns-cold": Pattern(
+        title="70 hosts, the servers of a zone down for 3 s and cold for 3 s after their return",
+        faults=zone_returns(zone_count=3, **ZONE_RETURNS),
+        warm_up_rate=COLD_RATE,
+        **SEVENTY_HOSTS,
+    ),
+    "zone-stays-away": Pattern(
+        title="70 hosts, the servers of a zone down for 6 s",
+        faults=zone_returns(zone_count=3, begin_s=4.0, return_s=10.0, cold_s=0.0),
+        **SEVENTY_HOSTS,
+    ),
+    "large-zone-returns-cold": Pattern(
+        title="195 hosts, the servers of a zone down for 3 s and cold for 3 s after their return",
+        faults=zone_returns(zone_count=5, **ZONE_RETURNS),
+        warm_up_rate=COLD_RATE,
+        **LARGE_DEPLOYMENT,
+    ),
+    "servers-turn-cold": Pattern(
+        title="70 hosts, 30 % of the servers turn cold for 4 s while they serve",
+        faults=servers_turn_cold(share=0.3, begin_s=6.0, cold_s=4.0),
+        warm_up_rate=COLD_RATE,
+        **SEVENTY_HOSTS,
+    ),
     "wide-slow-servers": Pattern(
         title="36 shards, one server of every other shard ten times slower for 8 s",
         faults=slow_servers(shards=range(0, 36, 2), slowdown=10.0, begin_s=6.0, end_s=14.0),
--- a/src/rhubarbway_emulator/servers.py
+++ b/src/rhubarbway_emulator/servers.py
@@ -11,6 +11,16 @@
 
 # Requests that may wait for a slot, not counting running ones; a server refuses further ones.
 QUEUE_LIMIT = 18
+# A cold server crashes when the arrivals within a second exceed this multiple of what it tolerates,
+# and is down for a time, seconds.
+COLD_CRASH_FACTOR = 2.0
+# Time from a change of a server's entry until all hosts know it, seconds: the interval at which
+# servers write, the watch of the readers and the relays between hosts.
+MAX_ENTRY_DELAY_S = 1.5
+COLD_CRASH_S = 3.0
+
+
+NO_LIMIT = float("inf")
 
 
 class FaultPhase:
@@ -24,15 +34,22 @@
         Time for which a server that refuses a request wants no further ones, seconds; 0 for none.
     leaving : bool
         Whether the server announces in its replies that it leaves.
+    tolerated_per_s : float
+        Arrivals in a second that a cold server tolerates; infinite for a warm one.
+    is_restart : bool
+        Whether the phase begins with the start of another process, which runs no requests that are
+        meant for the one before.
     """
 
     __slots__ = (
         "begin_s",
         "end_s",
+        "is_restart",
         "leaving",
         "quiet_s",
         "refusal_probability",
         "slowdown",
+        "tolerated_per_s",
     )
 
     def __init__(
@@ -44,7 +61,11 @@
         refusal_probability: float = 0.0,
         quiet_s: float = 0.0,
         leaving: bool = False,
+        tolerated_per_s: float = float("inf"),
+        is_restart: bool = False,
     ) -> None:
+        self.tolerated_per_s = tolerated_per_s
+        self.is_restart = is_restart
         self.quiet_s = quiet_s
         self.leaving = leaving
         self.refusal_probability = refusal_probability
@@ -119,6 +140,8 @@
     __slots__ = (
         "arrival_count",
         "clock",
+        "cold_arrivals",
+        "cold_crash_count",
         "pauses",
         "phases",
         "queue",
@@ -144,6 +167,9 @@
         self.running = 0
         self.queue: deque[Job] = deque()
         self.arrival_count = 0
+        # Instants of the arrivals that count against the limit of a cold server.
+        self.cold_arrivals: list[float] = []
+        self.cold_crash_count = 0
 
     def active_phases(self) -> list[FaultPhase]:
         """Return the fault phases in force now."""
@@ -162,6 +188,37 @@
         """Whether the server announces now that it leaves."""
         return any(phase.leaving for phase in self.active_phases())
 
+    def process_number(self) -> int:
+        """Return the number of restarts so far, which tells two processes apart."""
+        now = self.clock.now
+        return sum(phase.is_restart and phase.begin_s <= now for phase in self.phases)
+
+    def record_cold_arrival(self) -> None:
+        """Count an arrival at a cold server, which crashes if they are too many.
+
+        A server that turns cold while it serves tolerates more until all hosts know that it is
+        cold. A restarted process needs no such time, since it runs nothing for the one before.
+        """
+        now = self.clock.now
+        tolerated = min((phase.tolerated_per_s for phase in self.active_phases()), default=NO_LIMIT)
+        known_at = max(
+            (
+                phase.begin_s + (0.0 if phase.is_restart else MAX_ENTRY_DELAY_S)
+                for phase in self.active_phases()
+                if phase.tolerated_per_s < NO_LIMIT
+            ),
+            default=now,
+        )
+        if tolerated == NO_LIMIT or now < known_at:
+            return
+        self.cold_arrivals.append(now)
+        recent = sum(instant > now - 1.0 for instant in self.cold_arrivals[-1000:])
+        if recent > COLD_CRASH_FACTOR * tolerated:
+            self.cold_crash_count += 1
+            self.phases.append(
+                FaultPhase(begin_s=now, end_s=now + COLD_CRASH_S, slowdown=float("inf"))
+            )
+
     def draw_refusal(self) -> bool:
         """Draw whether the server refuses the next request although it has capacity."""
         probability = max(
@@ -172,6 +229,7 @@
     def accept(self, job: Job) -> bool:
         """Start or queue a job; return False if the server refuses it."""
         self.arrival_count += 1
+        self.record_cold_arrival()
         if self.draw_refusal():
             return False
         if self.running < self.server.slots:
--- a/src/rhubarbway_emulator/tests/test_patterns.py
+++ b/src/rhubarbway_emulator/tests/test_patterns.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rhubarbway_emulator.experiment import run_pattern
-from rhubarbway_emulator.patterns import PATTERNS
+from rhubarbway_emulator.patterns import COLD_RATE, PATTERNS, Pattern, limit_of_cold_server
 
 TARGET_VALUE = 0.88
 SEED = 1
@@ -82,3 +82,35 @@
         first, second = (run_pattern(PATTERNS["calm"], seed=7) for _ in range(2))
         assert first.mean_value == second.mean_value
         assert first.arrived_attempts == second.arrived_attempts
+
+
+class TestColdServers:
+    NAMES = ("zone-returns-cold", "large-zone-returns-cold", "servers-turn-cold")
+
+    @pytest.mark.parametrize("name", NAMES)
+    def test_the_sum_over_all_hosts_keeps_the_limit(self, result_of, name):
+        """Guards against a cold server that gets more than it tolerates from all hosts together.
+
+        The hosts know different memberships, and learn at different times that it is cold.
+        """
+        result = result_of(name)
+        assert result.busiest_cold_second <= limit_of_cold_server(COLD_RATE)
+        assert result.cold_crashes == 0
+
+    def test_a_cold_zone_costs_no_more_than_one_that_stays_away(self, result_of):
+        """Guards against requests that wait for cold servers or are refused because of them."""
+        returns, stays_away = result_of("zone-returns-cold"), result_of("zone-stays-away")
+        assert returns.mean_value >= stays_away.mean_value - 0.01
+
+    def test_hosts_without_the_limit_crash_cold_servers(self):
+        """Guards against a load so low that the tests above hold without any limit."""
+        pattern = PATTERNS["zone-returns-cold"]
+        pattern = Pattern(
+            title="no limit known",
+            **{
+                name: getattr(pattern, name)
+                for name in Pattern.__slots__
+                if name not in ("title", "warm_up_rate")
+            },
+        )
+        assert run_pattern(pattern, seed=SEED).cold_crashes > 0
