Treat a server that refuses connections as cold when it returns

Cause: a process that is restarted under the same id starts cold, and until its entry is known, or while the store is silent, nothing tells hosts so. Change: in a service with a limit, a refused connection makes the server cold for 5 s.

--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -48,6 +48,16 @@
     """Raised when a call ends because the peer has reset the connection."""
 
 
+class RefusedCallError(CallError):
+    """Raised when no process accepts connections at the peer's address."""
+
+
+CALL_ERRORS: dict[type[Exception], type[CallError]] = {
+    ConnectionResetError: ResetCallError,
+    ConnectionRefusedError: RefusedCallError,
+}
+
+
 class ExchangeConnection:
     """A connection to one server by a socket and ``httptools``, used by one task.
 
@@ -182,8 +192,7 @@
     def disconnect_with_error(self, error: Exception) -> CallError:
         """Close the connection after a failure, and return the error to raise."""
         self.disconnect()
-        kind = ResetCallError if isinstance(error, ConnectionResetError) else CallError
-        return kind(
+        return CALL_ERRORS.get(type(error), CallError)(
             str(error) or type(error).__name__,
             sent=self.sent,
             connecting=not self.sent,
--- a/src/rhubarbway/platform/tests/test_decoding.py
+++ b/src/rhubarbway/platform/tests/test_decoding.py
@@ -330,6 +330,15 @@
         notice = self.notice(status, Retry_After=value)
         assert (notice.quiet_s if notice else None) == quiet_s
 
+    @pytest.mark.parametrize(
+        ("value", "warm_up_s"),
+        [("2500", 2.5), ("1e300", 86_400.0), ("0", None), ("-1", None), ("nan", None), ("", None)],
+    )
+    def test_a_cold_replica_states_how_long_it_stays_cold(self, value, warm_up_s):
+        """Guards against a full load on a replica whose entry does not say yet that it is cold."""
+        notice = self.notice(200, X_Warmup_Ms=value)
+        assert (notice.warm_up_s if notice else None) == warm_up_s
+
     def test_an_answer_to_another_request_is_discarded(self):
         """Guards against the use of a reply to another request, such as a late or duplicate one."""
         assert self.reply(200, X_Request_Id="other", X_Server_Stamp="p") is None
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -11,7 +11,11 @@
 
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
-from rhubarbway.edge.exchange_connection import ExchangeConnection, ResetCallError
+from rhubarbway.edge.exchange_connection import (
+    ExchangeConnection,
+    RefusedCallError,
+    ResetCallError,
+)
 from rhubarbway.edge.http_client import (
     CallError,
     Reply,
@@ -39,6 +43,9 @@
 IDLE_CLOSE_MARGIN_S = 0.3
 # A reply may arrive this long after the deadline that the request states to the server, seconds.
 REPLY_TIMEOUT_MARGIN_S = 0.005
+# A process that takes over the address of one that has ended starts cold, and its entry is known
+# within this time, seconds.
+RESTART_NOTICE_S = 5.0
 
 EncodeRequest = Callable[..., list[str]]
 DecodeReply = Callable[[Reply, ForwardedRequest], ReplicaReply | None]
@@ -228,7 +235,7 @@
             self.state.warm_at = time.monotonic() + server.warm_up_s
 
     def set_cold_for(self, warm_up_s: float) -> None:
-        """Treat the server as cold for at least a time that it has stated itself, seconds."""
+        """Treat the server as cold for at least a time, seconds, whatever its entry states."""
         with self.lock:
             self.state.warm_at = max(self.state.warm_at, time.monotonic() + warm_up_s)
 
@@ -416,6 +423,8 @@
             connection.reusable_until = float("inf")
             if is_new and isinstance(error, ResetCallError):
                 self.report_reset(self.server)
+            if isinstance(error, RefusedCallError) and self.state.cold_limit.is_limited():
+                self.set_cold_for(RESTART_NOTICE_S)
             return self.outcome_of_error(attempt, error)
         finally:
             attempt.connection = None
--- a/src/rhubarbway/services/tests/test_servers.py
+++ b/src/rhubarbway/services/tests/test_servers.py
@@ -11,17 +11,22 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from rhubarbway.decisions.delegation import FanOutHost
+from rhubarbway.decisions.fleet_view import FleetMember
+from rhubarbway.decisions.host_history import SETTLE_S
 from rhubarbway.decisions.server_notices import LeavingMark
 from rhubarbway.model import (
     BackendServer,
     CallerLimits,
     ExchangeEnd,
     ExecutionStatus,
+    ForwardedRequest,
     RoutingTable,
     ServerNotice,
 )
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.server_pool import ServerCodec, ServerConnection
+from rhubarbway.services.server_sharing import ServerSharing
 from rhubarbway.services.servers import (
     DEFAULT_CONNECTION_LIMIT,
     ServerService,
@@ -256,3 +261,144 @@
         assert "desk" not in running.service.pools_by_service
         marks = running.service.leaving_to_share()
         assert [mark.incarnation for mark in marks] == [SERVER.incarnation]
+
+
+def register_cold(running, *, warm_up_s):
+    """Write the entry of the server again, with the time for which it stays cold."""
+    running.register(
+        BackendServer(
+            id="i-1", service="desk", address=SERVER.address, zone="z", slots=3, warm_up_s=warm_up_s
+        )
+    )
+
+
+def table_with(**values):
+    return RoutingTable(version=1, routes=(), limits=LIMITS, **values)
+
+
+def members(count, *, zone="z"):
+    return [
+        FleetMember(address=f"h{number}:1", zone=zone, incarnation="1", last_seen_at=0.0, cores=0.5)
+        for number in range(count)
+    ]
+
+
+class TestColdServers:
+    def running(self, *, rate=2.0, settled=True):
+        running = RunningServers()
+        running.service.sharing = ServerSharing(
+            own=FanOutHost(address="own:1", zone="z", cores=1.0),
+            warm_up_overshoot=1.0,
+            warm_up_slack=2.0,
+        )
+        running.pool().state.cold_limit = running.service.sharing.cold_limit(SERVER)
+        if rate:
+            running.service.apply_table(
+                table_with(max_connections={}, warm_up_rates={"desk": rate})
+            )
+        for now in (0.0, SETTLE_S):
+            running.service.sharing.record_members(members(1 if settled else 0), now=now)
+        return running
+
+    def run_attempt(self, running, number):
+        attempt = running.submit(number)
+        attempt.request = ForwardedRequest(
+            request_id="1",
+            method="GET",
+            target="/",
+            host="h",
+            received_at=time.monotonic(),
+            deadline=time.monotonic() + 5.0,
+        )
+        running.pool().codec = ServerCodec(encode=lambda *_, **__: ["Host: s"], decode=unused)
+        return running.pool().run_attempt(ServerConnection(address="127.0.0.1:1"), attempt)
+
+    def test_a_change_of_the_entry_makes_a_server_cold_and_warm_again(self):
+        """Guards against a server that turns cold while it serves and gets all of its requests."""
+        running = self.running()
+        state = running.pool().state
+        assert not state.is_cold(time.monotonic())
+        register_cold(running, warm_up_s=3.0)
+        assert state.is_cold(time.monotonic())
+        state.cold_limit.record_sent(time.monotonic())
+        assert not state.accepts_requests(time.monotonic())
+        register_cold(running, warm_up_s=0.0)
+        assert state.accepts_requests(time.monotonic())
+
+    def test_the_last_check_withholds_what_the_choice_of_a_server_has_let_pass(self):
+        """Guards against fan-outs that choose a cold server at once, before any of them is sent."""
+        running = self.running()
+        results = []
+        running.service.cold_attempt_listeners.append(
+            lambda *, service, result: results.append((service, result))
+        )
+        register_cold(running, warm_up_s=3.0)
+        ends = [self.run_attempt(running, number).end for number in range(3)]
+        # Nothing listens at the address of the attempt that is sent.
+        assert ends == [ExchangeEnd.CONNECT_FAILED] + [ExchangeEnd.WITHDRAWN] * 2
+        assert results == [("desk", "sent")] + [("desk", "withheld")] * 2
+
+    def test_a_reply_that_states_a_warm_up_makes_the_server_cold(self):
+        """Guards against a server whose entry does not yet say that it is cold."""
+        running = self.running(settled=False)
+        running.service.handle_notice(running.pool(), ServerNotice(warm_up_s=2.0))
+        assert not running.pool().state.accepts_requests(time.monotonic())
+        assert running.service.cold_server_count() == 1
+
+    def test_a_server_that_refuses_connections_counts_as_cold_when_it_returns(self):
+        """Guards against a full load on a process that was restarted under the same id.
+
+        Its entry is not known yet, or the store is silent.
+        """
+        running = self.running()
+        assert self.run_attempt(running, 1).end is ExchangeEnd.CONNECT_FAILED
+        assert running.pool().state.is_cold(time.monotonic())
+
+    def test_nothing_changes_for_a_service_without_a_rate(self):
+        """Guards against withheld requests in deployments that state no rate."""
+        running = self.running(rate=0.0)
+        register_cold(running, warm_up_s=3.0)
+        assert self.run_attempt(running, 1).end is ExchangeEnd.CONNECT_FAILED
+        assert running.pool().state.accepts_requests(time.monotonic())
+        assert running.service.cold_server_count() == 0
+
+
+class TestConnectionSubsets:
+    def service(self, *, host_count, cap=67):
+        service = ServerService(
+            codec=ServerCodec(encode=unused, decode=unused), address="own:1", zone="z0"
+        )
+        service.tasks.executor = IdleExecutor()
+        service.apply_table(table_with(max_connections={"desk": cap, "board": 480}))
+        service.update(
+            [
+                BackendServer(
+                    id=f"{name}-{zone}", service=name, address="10.0.0.1:1", zone=zone, slots=3
+                )
+                for name in ("desk", "board")
+                for zone in ("z0", "z1", "z2")
+            ],
+            [],
+        )
+        live = members(host_count // 2, zone="z1") + [
+            FleetMember(address=f"g{number}:1", zone="z0", incarnation="1", last_seen_at=0.0)
+            for number in range(host_count // 2)
+        ]
+        service.record_members(lambda: live)
+        return service
+
+    def test_a_host_uses_a_part_of_the_servers_without_room_for_all(self):
+        """Guards against a connection of each host to each server, beyond the server's cap."""
+        service = self.service(host_count=600)
+        assert [pool.server.id for pool in service.pools_by_service["board"]] == [
+            "board-z0",
+            "board-z1",
+            "board-z2",
+        ]
+        assert len(service.pools_by_service["desk"]) < 3
+        assert len(service.pools) == 6
+
+    def test_all_servers_are_used_while_there_is_room(self):
+        """Guards against fewer servers to choose from where no cap binds."""
+        service = self.service(host_count=40)
+        assert len(service.pools_by_service["desk"]) == 3
