Emulate connection caps, and count the connections that servers reset

Cause: nothing showed what subsets of connections do for the resets of servers. Change: emulated servers accept a number of hosts; a pattern with 70 hosts, a cap of 67 and the servers of two zones down.

--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -9,6 +9,7 @@
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
 from rhubarbway_emulator.clock import VirtualClock
 from rhubarbway_emulator.cold_servers import busiest_cold_second, schedule_cold_servers
+from rhubarbway_emulator.connections import limit_connections
 from rhubarbway_emulator.hosts import EmulatedHost, HostConfig
 from rhubarbway_emulator.patterns import Pattern, RequestKind
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
@@ -97,6 +98,7 @@
         "busiest_cold_second",
         "by_kind",
         "cold_crashes",
+        "connection_resets",
         "cross_zone_attempts",
         "first_attempts",
         "new_connections",
@@ -111,6 +113,8 @@
         # Greatest number of arrivals at a cold server in a second, and crashes of cold servers.
         self.busiest_cold_second = 0
         self.cold_crashes = 0
+        # Connections that servers reset beyond their cap.
+        self.connection_resets = 0
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
@@ -210,6 +214,8 @@
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
     schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
+    if pattern.connection_cap is not None:
+        limit_connections(hosts, servers, connection_cap=pattern.connection_cap)
     schedule_cold_servers(
         hosts, servers, warm_up_rate=pattern.warm_up_rate, random=Random(random.random())
     )
@@ -227,6 +233,7 @@
     )
     all_servers = [one for shard_servers in servers.values() for one in shard_servers]
     result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
+    result.connection_resets = sum(one.connection_reset_count for one in all_servers)
     result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -214,6 +214,9 @@
         if self.ended:
             return
         self.pool.check_notices()
+        if not self.pool.emulated_server.connect(self.pool.host.name):
+            self.schedule_end(ExchangeEnd.LOST, ExecutionStatus.UNKNOWN)
+            return
         if self.pool.process_number != self.pool.emulated_server.process_number():
             self.schedule_end(ExchangeEnd.MISDIRECTED, ExecutionStatus.NOT_RUN)
             return
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -220,6 +220,17 @@
     return phases
 
 
+def zones_down(*, zones: Sequence[int], zone_count: int, begin_s: float) -> FaultPhases:
+    """Return fault phases in which the servers of some zones are down from an instant on."""
+
+    def phases(shard: int, index: int) -> Sequence[FaultPhase]:
+        if (shard + index) % zone_count not in zones:
+            return ()
+        return [FaultPhase(begin_s=begin_s, end_s=NEVER, slowdown=float("inf"))]
+
+    return phases
+
+
 def servers_turn_cold(*, share: float, begin_s: float, cold_s: float) -> FaultPhases:
     """Return fault phases in which a share of all servers turn cold while they serve."""
 
@@ -268,12 +279,15 @@
         Cores of the other hosts.
     retry_allowance : float
         See ``HostConfig``.
+    connection_cap : int or None
+        Connections that a server accepts from all hosts together; None for no cap.
     warm_up_rate : float or None
         Requests per second that cold servers tolerate, as the hosts know it; None for no limit.
     """
 
     __slots__ = (
         "burst",
+        "connection_cap",
         "duration_s",
         "faults",
         "kinds",
@@ -314,7 +328,9 @@
         strong_cores: float = 2.15,
         weak_cores: float = 1.07,
         warm_up_rate: float | None = None,
+        connection_cap: int | None = None,
     ) -> None:
+        self.connection_cap = connection_cap
         self.warm_up_rate = warm_up_rate
         self.strong_hosts = strong_hosts
         self.strong_cores = strong_cores
@@ -434,6 +450,12 @@
         warm_up_rate=COLD_RATE,
         **LARGE_DEPLOYMENT,
     ),
+    "two-zones-down": Pattern(
+        title="70 hosts without delegates, servers of two zones down, 67 connections each",
+        faults=zones_down(zones=(0, 1), zone_count=3, begin_s=4.0),
+        connection_cap=67,
+        **SEVENTY_HOSTS | {"strong_hosts": 0},
+    ),
     "servers-turn-cold": Pattern(
         title="70 hosts, 30 % of the servers turn cold for 4 s while they serve",
         faults=servers_turn_cold(share=0.3, begin_s=6.0, cold_s=4.0),
--- a/src/rhubarbway_emulator/servers.py
+++ b/src/rhubarbway_emulator/servers.py
@@ -144,6 +144,9 @@
         "cold_crash_count",
         "pauses",
         "phases",
+        "connected_hosts",
+        "connection_cap",
+        "connection_reset_count",
         "queue",
         "random",
         "running",
@@ -170,6 +173,10 @@
         # Instants of the arrivals that count against the limit of a cold server.
         self.cold_arrivals: list[float] = []
         self.cold_crash_count = 0
+        # Hosts with a connection, at most one each; the server resets connections beyond the cap.
+        self.connected_hosts: set[str] = set()
+        self.connection_cap = float("inf")
+        self.connection_reset_count = 0
 
     def active_phases(self) -> list[FaultPhase]:
         """Return the fault phases in force now."""
@@ -219,6 +226,14 @@
                 FaultPhase(begin_s=now, end_s=now + COLD_CRASH_S, slowdown=float("inf"))
             )
 
+    def connect(self, host: str) -> bool:
+        """Accept the connection of a host; return False if the server resets it."""
+        if host not in self.connected_hosts and len(self.connected_hosts) >= self.connection_cap:
+            self.connection_reset_count += 1
+            return False
+        self.connected_hosts.add(host)
+        return True
+
     def draw_refusal(self) -> bool:
         """Draw whether the server refuses the next request although it has capacity."""
         probability = max(
--- a/src/rhubarbway_emulator/tests/test_patterns.py
+++ b/src/rhubarbway_emulator/tests/test_patterns.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rhubarbway.decisions.connection_subsets import ConnectionSubsets
 from rhubarbway_emulator.experiment import run_pattern
 from rhubarbway_emulator.patterns import COLD_RATE, PATTERNS, Pattern, limit_of_cold_server
 
@@ -114,3 +115,14 @@
             },
         )
         assert run_pattern(pattern, seed=SEED).cold_crashes > 0
+
+
+class TestConnectionCaps:
+    def test_servers_reset_no_connection_beyond_their_cap(self, result_of):
+        """Guards against 70 hosts that all connect to the only servers left, which accept 67."""
+        assert result_of("two-zones-down").connection_resets == 0
+
+    def test_hosts_without_subsets_exceed_the_cap(self, monkeypatch):
+        """Guards against a load so low that the test above holds without any subsets."""
+        monkeypatch.setattr(ConnectionSubsets, "applies", lambda self, cap: False)
+        assert run_pattern(PATTERNS["two-zones-down"], seed=SEED).connection_resets > 0
