Let servers turn cold in the soak, and check what they get

Cause: the soak knew no cold servers. A check counts the arrivals at a cold server in every second in which hosts can know of it. The list in test_each_kind_can_be_injected gained the new kind.

--- a/proofs/test_cold_servers.py
+++ b/proofs/test_cold_servers.py
@@ -23,11 +23,7 @@
 
 @pytest.fixture(scope="module")
 def gateways(tmp_path_factory):
-    site = Site(ports=free_ports())
-    document = site.configuration()
-    for service in document["services"]:
-        service["warmupPerS"] = RATE
-    site.publish(document)
+    site = Site(ports=free_ports(), warm_up_rate=RATE)
     started = GatewayProcesses(site=site, directory=tmp_path_factory.mktemp("cold"), count=GATEWAYS)
     for number, settings in enumerate(started.settings):
         settings.warm_up_overshoot, settings.warm_up_slack = OVERSHOOT, SLACK
@@ -75,7 +71,8 @@
 
 def turn_cold(site, replica, *, sequence):
     """Write the entry of a replica that has turned cold; return the end of that time."""
-    site.register(replica, warmupLeftMs=int(COLD_S * 1000), sequence=sequence)
+    replica.warm_up_ms = int(COLD_S * 1000)
+    site.register(replica, sequence=sequence)
     return time.monotonic() + COLD_S
 
 
@@ -91,7 +88,8 @@
         assert set(send_load(gateways, seconds=1.2)) == {200}
         assert arrivals_at(site, replica, begin=begin, end=end) == []
         time.sleep(SETTLE_S)
-        site.register(replica, warmupLeftMs=0, sequence=3)
+        replica.warm_up_ms = 0
+        site.register(replica, sequence=3)
         time.sleep(ENTRY_DELAY_S)
         begin = time.monotonic()
         assert set(send_load(gateways, seconds=1.5)) == {200}
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -66,6 +66,8 @@
         If set, requests are refused with this ``Retry-After``.
     service_time_s : float
         Time that each request takes, seconds.
+    warm_up_ms : int
+        Time for which the entry states that the replica stays cold, milliseconds.
     unpaused : threading.Event
         Requests wait while the event is cleared.
     """
@@ -88,6 +90,7 @@
         "slot_count",
         "slots",
         "unpaused",
+        "warm_up_ms",
         "zone",
     )
 
@@ -109,6 +112,7 @@
         self.slot_count = slots
         self.service_time_s = service_time_s
         self.draining = False
+        self.warm_up_ms = 0
         self.leaving = False
         self.holds_until_deadline = False
         self.quiet_s: str | None = None
@@ -153,7 +157,7 @@
                 "version": "v1",
                 "slots": self.slot_count,
                 "state": "draining" if self.draining else "ready",
-                "warmupLeftMs": 0,
+                "warmupLeftMs": self.warm_up_ms,
                 "sequence": 1,
                 "born": self.born_ms,
             }
--- a/src/rhubarbway_standins/platform/site.py
+++ b/src/rhubarbway_standins/platform/site.py
@@ -39,11 +39,14 @@
         Free ports on loopback.
     shards : int
         Shards of the search route; each has one replica in each zone.
+    warm_up_rate : float
+        Requests per second that a cold replica tolerates; 0 for no limit.
     """
 
-    __slots__ = ("arrivals", "ports", "replicas", "shards", "store", "version")
+    __slots__ = ("arrivals", "ports", "replicas", "shards", "store", "version", "warm_up_rate")
 
-    def __init__(self, *, ports: Iterator[int], shards: int = 4) -> None:
+    def __init__(self, *, ports: Iterator[int], shards: int = 4, warm_up_rate: float = 0.0) -> None:
+        self.warm_up_rate = warm_up_rate
         self.ports = ports
         self.arrivals: list[Arrival] = []
         self.store = PlatformStore(address=("127.0.0.1", next(ports)))
@@ -125,7 +128,13 @@
                 common | booking_route,
             ],
             "services": [
-                {"name": name, "healthPath": "/health", "maxConnections": 30} for name in services
+                {
+                    "name": name,
+                    "healthPath": "/health",
+                    "maxConnections": 30,
+                    "warmupPerS": self.warm_up_rate,
+                }
+                for name in services
             ],
             "limits": HTTP_LIMITS,
         }
--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -23,13 +23,14 @@
     CallerRequest,
 )
 from rhubarbway_standins.soak.plan import (
+    COLD_RATE,
     HOST_FAULTS,
     LATER_HOST_FAULTS,
     LATER_STORE_FAULTS,
     STORE_FAULTS,
     PlannedFault,
 )
-from rhubarbway_standins.soak.testbed import Drain
+from rhubarbway_standins.soak.testbed import ColdPeriod, Drain
 
 # Faults that suspend a host.
 PAUSES = frozenset({"host_pause"})
@@ -58,6 +59,7 @@
 
     __slots__ = (
         "arrivals",
+        "cold_periods",
         "drains",
         "faults",
         "requests",
@@ -73,12 +75,14 @@
         arrivals: Iterable[Arrival],
         shards: list[str],
         drains: Iterable[Drain] = (),
+        cold_periods: Iterable[ColdPeriod] = (),
         faults: Iterable[PlannedFault] = (),
         started_at: float = 0.0,
         unexpected_requests: Iterable[str] = (),
     ) -> None:
         self.unexpected_requests = list(unexpected_requests)
         self.drains = list(drains)
+        self.cold_periods = list(cold_periods)
         self.faults = list(faults)
         self.started_at = started_at
         self.requests = {request.request_id: request for request in requests}
@@ -258,6 +262,33 @@
                     )
 
 
+def check_cold_servers(record: RunRecord) -> Iterable[str]:
+    """Check that a cold server gets no more than it tolerates in any second, from all hosts.
+
+    Only seconds count in which hosts know that the server is cold.
+    """
+    for period in record.cold_periods:
+        instants = sorted(
+            arrival.arrived_at
+            for arrivals in record.arrivals.values()
+            for arrival in arrivals
+            if arrival.server == period.server
+            and period.started_at + MAX_DRAIN_DELAY_S < arrival.arrived_at < period.ended_at
+        )
+        for begin in instants:
+            count = sum(begin <= instant < begin + 1.0 for instant in instants)
+            if count > COLD_RATE and record.had_no_fault(
+                period.started_at - MAX_STORE_RECOVERY_S,
+                begin + 1.0,
+                kinds=UPDATE_DELAYING_FAULTS,
+            ):
+                yield (
+                    f"{period.server} was cold and got {count} requests in the second that began "
+                    f"{begin - period.started_at:.2f} s after that; the limit is {COLD_RATE}"
+                )
+                break
+
+
 def check_only_answers(record: RunRecord) -> Iterable[str]:
     """Check that callers get only answers, and servers and the store only requests.
 
@@ -283,6 +314,7 @@
     "answered in time": check_deadlines,
     "kept connections": check_connections,
     "drained servers": check_drained_servers,
+    "cold servers": check_cold_servers,
     "only answers": check_only_answers,
 }
 
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -11,7 +11,8 @@
 from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE
 from rhubarbway_standins.platform.gateways import settings_document
 from rhubarbway_standins.platform.store import StoreMode
-from rhubarbway_standins.soak.testbed import Drain, SoakTestbed
+from rhubarbway_standins.soak.plan import MAX_FAULT_S
+from rhubarbway_standins.soak.testbed import ColdPeriod, Drain, SoakTestbed
 
 # Header whose value is encoded in UTF-8; HTTP permits such bytes in values.
 NOT_ASCII_HEADER = "X-Origin: Timișoara, Brăila é\r\n".encode()
@@ -185,6 +186,23 @@
     return end
 
 
+def server_cold(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Register a server as cold, and as warm again at the end of the fault."""
+    replica = testbed.site.replicas[target_index]
+    replica.warm_up_ms = int(MAX_FAULT_S * 1000)
+    testbed.register_server(target_index)
+    testbed.cold_periods.append(ColdPeriod(server=replica.server_id, started_at=time.monotonic()))
+
+    def end() -> None:
+        replica.warm_up_ms = 0
+        for period in testbed.cold_periods:
+            if period.server == replica.server_id:
+                period.ended_at = min(period.ended_at, time.monotonic())
+        testbed.register_server(target_index)
+
+    return end
+
+
 def burst(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Make callers send without pauses, and burst callers send at all."""
     testbed.burst.set()
@@ -251,6 +269,7 @@
     "server_connections_silent": server_connections_silent,
     "server_restarted": server_restarted,
     "server_headers_not_ascii": server_headers_not_ascii,
+    "server_cold": server_cold,
     "burst": burst,
     "servers_hold": servers_hold,
 }
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -44,6 +44,13 @@
 }
 LATER_STORE_FAULTS = {"store_readers_cut": 3}
 LATER_SERIES_PER_S = 0.5
+# Runs whose configuration limits the requests to cold servers, and in which servers turn cold. They
+# are few, so that the other seeds stay as they were.
+COLD_PERIOD = 9
+COLD_REMAINDER = 5
+COLD_RATE = 4.0
+COLD_FAULTS = {"server_cold": 1}
+COLD_SERIES_PER_S = 0.7
 # Periods of high load: callers that do not pause, and servers that answer only at the deadline.
 LOAD_KINDS = ("burst", "servers_hold")
 # Bounds of the pause between two bursts and of the duration of a burst, seconds.
@@ -106,7 +113,15 @@
         series_per_s=LATER_SERIES_PER_S,
         duration_s=duration_s,
     )
-    return sorted(first + later, key=lambda fault: fault.begin_s)
+    cold = plan_series(
+        random=Random(f"cold {seed}"),
+        weights=COLD_FAULTS,
+        target_counts={"server_cold": servers},
+        series_per_s=COLD_SERIES_PER_S,
+        duration_s=duration_s,
+    )
+    planned = first + later + (cold if has_cold_servers(seed) else [])
+    return sorted(planned, key=lambda fault: fault.begin_s)
 
 
 def plan_series(
@@ -162,6 +177,11 @@
     return load
 
 
+def has_cold_servers(seed: int) -> bool:
+    """Whether servers turn cold in a run."""
+    return seed % COLD_PERIOD == COLD_REMAINDER
+
+
 def has_shared_cores(seed: int) -> bool:
     """Whether the hosts of a run share cores."""
     return seed % SHARED_CORE_PERIOD == SHARED_CORE_REMAINDER
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -160,6 +160,7 @@
             arrivals=arrivals,
             shards=self.testbed.site.shards,
             drains=self.testbed.drains,
+            cold_periods=self.testbed.cold_periods,
             faults=self.faults,
             started_at=self.started_at,
             unexpected_requests=self.testbed.unexpected_requests(),
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -12,7 +12,7 @@
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import Site
 from rhubarbway_standins.processes import free_ports
-from rhubarbway_standins.soak.plan import shared_cores
+from rhubarbway_standins.soak.plan import COLD_RATE, has_cold_servers, shared_cores
 
 
 class Drain:
@@ -33,6 +33,12 @@
         self.ended_at = float("inf")
 
 
+class ColdPeriod(Drain):
+    """Period in which a server is cold."""
+
+    __slots__ = ()
+
+
 class SoakTestbed:
     """Site, gateway processes and the proxy between them; used as a context manager.
 
@@ -43,8 +49,8 @@
     ----------
     burst : threading.Event
         Set while callers send without pauses.
-    drains : list of Drain
-        Periods in which servers were draining.
+    cold_periods, drains : list of Drain
+        Periods in which servers were cold or draining.
     published_at : dict of int to float
         Instant at which each version of the configuration was published.
     stop_exit_codes : list of tuple of (int, int)
@@ -54,6 +60,7 @@
     __slots__ = (
         "bound_cores",
         "burst",
+        "cold_periods",
         "drains",
         "gateways",
         "ports",
@@ -76,10 +83,15 @@
     ) -> None:
         self.burst = threading.Event()
         self.ports = free_ports()
-        self.site = Site(ports=self.ports, shards=shards)
+        self.site = Site(
+            ports=self.ports,
+            shards=shards,
+            warm_up_rate=COLD_RATE if has_cold_servers(seed) else 0.0,
+        )
         self.start_lock = threading.Lock()
         self.server_lock = threading.Lock()
         self.drains: list[Drain] = []
+        self.cold_periods: list[ColdPeriod] = []
         self.published_at: dict[int, float] = {}
         self.stop_exit_codes: list[tuple[int, int]] = []
         self.gateways = GatewayProcesses(
--- a/src/rhubarbway_standins/soak/tests/test_checks.py
+++ b/src/rhubarbway_standins/soak/tests/test_checks.py
@@ -9,7 +9,7 @@
 from rhubarbway_standins.soak.callers import CALLER_LEFT, DEADLINE_MS, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, find_problems
 from rhubarbway_standins.soak.plan import PlannedFault
-from rhubarbway_standins.soak.testbed import Drain
+from rhubarbway_standins.soak.testbed import ColdPeriod, Drain
 
 NOW = time.monotonic()
 
@@ -159,3 +159,13 @@
             )
             == set()
         )
+
+    def test_a_cold_server_gets_no_more_than_it_tolerates_in_a_second(self):
+        """Guards against missing a second with too many requests, and against counting others."""
+        cold = [ColdPeriod(server="i-1", started_at=NOW)]
+        too_many = [make_arrival(after_s=3.2 + 0.1 * number) for number in range(5)]
+        assert "cold servers" in failed_checks([make_request()], too_many, cold_periods=cold)
+        spread = [make_arrival(after_s=3.2 + 0.3 * number) for number in range(5)]
+        assert "cold servers" not in failed_checks([make_request()], spread, cold_periods=cold)
+        cold[0].ended_at = NOW + 3.3
+        assert "cold servers" not in failed_checks([make_request()], too_many, cold_periods=cold)
--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -5,6 +5,7 @@
 
 from rhubarbway_standins.soak.faults import FAULTS
 from rhubarbway_standins.soak.plan import (
+    COLD_FAULTS,
     FAULT_FREE_END_S,
     FAULT_FREE_START_S,
     HOST_FAULTS,
@@ -34,7 +35,7 @@
     def test_each_kind_can_be_injected(self):
         """Guards against a planned kind of fault that has no function to inject it."""
         planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
-        planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS
+        planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS | COLD_FAULTS
         assert FAULTS.keys() == planned.keys() | set(LOAD_KINDS)
 
     def test_faults_overlap_and_come_in_series(self):
