Log the servers chosen by the membership only when their numbers change

Cause: the numbers before a change were read after it. A share computed while the membership changed could be kept with the new one. Change: both are read in the right order. Measured: tests of the service and of the decision pass.

--- a/src/rhubarbway/decisions/warm_up.py
+++ b/src/rhubarbway/decisions/warm_up.py
@@ -105,15 +105,18 @@
 
         Infinite if the service has no limit.
         """
+        # Read before the values that it is computed from, so that a share which was computed from
+        # replaced values is not kept with the new ones.
+        shares = self.shares
         rate = self.rates.get(server.service)
         if rate is None:
             return float("inf")
         if server.zone != self.zone or self.zone_hosts is None:
             return 0.0
         key = (server.id, server.service)
-        share = self.shares.get(key)
+        share = shares.get(key)
         if share is None:
-            share = self.shares[key] = self.compute_share(server.id, rate, self.zone_hosts)
+            share = shares[key] = self.compute_share(server.id, rate, self.zone_hosts)
         return share
 
     def compute_share(self, server_id: str, rate: float, zone_hosts: Collection[str]) -> float:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -195,9 +195,9 @@
             return
         members = live_members()
         with self.lock:
+            counts_before = self.sharing.count_access()
             if not self.sharing.record_members(members, now=now):
                 return
-            counts_before = self.sharing.count_access()
             self.apply_servers()
             counts = self.sharing.count_access()
         if counts != counts_before:
