--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -9,6 +9,8 @@
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
 from rhubarbway_emulator.clock import VirtualClock
+from rhubarbway_emulator.cold_servers import busiest_cold_second, schedule_cold_servers
+from rhubarbway_emulator.connections import limit_connections
 from rhubarbway_emulator.hosts import NOTICE_SLACK_S, EmulatedHost, HostConfig
 from rhubarbway_emulator.patterns import Evacuation, Pattern, RequestKind
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
@@ -102,7 +104,10 @@
 
     __slots__ = (
         "arrived_attempts",
+        "busiest_cold_second",
         "by_kind",
+        "cold_crashes",
+        "connection_resets",
         "cross_zone_attempts",
         "evacuated_attempts",
         "first_attempts",
@@ -115,6 +120,11 @@
         # Attempts that reached a server, attempts sent to another zone, and first attempts: one for
         # each shard of each request, whether or not it was sent.
         self.arrived_attempts = 0
+        # Greatest number of arrivals at a cold server in a second, and crashes of cold servers.
+        self.busiest_cold_second = 0
+        self.cold_crashes = 0
+        # Connections that servers reset beyond their cap.
+        self.connection_resets = 0
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
@@ -216,6 +226,11 @@
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
     schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
+    if pattern.connection_cap is not None:
+        limit_connections(hosts, servers, connection_cap=pattern.connection_cap)
+    schedule_cold_servers(
+        hosts, servers, warm_up_rate=pattern.warm_up_rate, random=Random(random.random())
+    )
     result = RunResult(kinds=pattern.kinds)
     if pattern.evacuation is not None:
         schedule_evacuation(clock, hosts, pattern.evacuation, random)
@@ -231,6 +246,10 @@
     result.arrived_attempts = sum(
         server.arrival_count for shard_servers in servers.values() for server in shard_servers
     )
+    all_servers = [one for shard_servers in servers.values() for one in shard_servers]
+    result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
+    result.connection_resets = sum(one.connection_reset_count for one in all_servers)
+    result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
     result.new_connections = sum(host.new_connections for host in hosts)
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -4,6 +4,7 @@
 
 import signal
 import socket
+import time
 from collections.abc import Callable
 
 from rhubarbway.edge.json_codec import encode_json
@@ -11,7 +12,8 @@
 from rhubarbway_standins.platform.gateways import settings_document
 from rhubarbway_standins.platform.site import ZONES
 from rhubarbway_standins.platform.store import StoreMode
-from rhubarbway_standins.soak.testbed import SoakTestbed
+from rhubarbway_standins.soak.plan import MAX_FAULT_S
+from rhubarbway_standins.soak.testbed import ColdPeriod, SoakTestbed
 
 # Header whose value is encoded in UTF-8; HTTP permits such bytes in values.
 NOT_ASCII_HEADER = "X-Origin: Timișoara, Brăila é\r\n".encode()
@@ -200,6 +202,23 @@
     return end
 
 
+def server_cold(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Register a server as cold, and as warm again at the end of the fault."""
+    replica = testbed.site.replicas[target_index]
+    replica.warm_up_ms = int(MAX_FAULT_S * 1000)
+    testbed.register_server(target_index)
+    testbed.cold_periods.append(ColdPeriod(server=replica.server_id, started_at=time.monotonic()))
+
+    def end() -> None:
+        replica.warm_up_ms = 0
+        for period in testbed.cold_periods:
+            if period.server == replica.server_id:
+                period.ended_at = min(period.ended_at, time.monotonic())
+        testbed.register_server(target_index)
+
+    return end
+
+
 def burst(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Make callers send without pauses, and burst callers send at all."""
     testbed.burst.set()
@@ -266,6 +285,7 @@
     "server_connections_silent": server_connections_silent,
     "server_restarted": server_restarted,
     "server_headers_not_ascii": server_headers_not_ascii,
+    "server_cold": server_cold,
     "burst": burst,
     "servers_hold": servers_hold,
     "zone_evacuated": zone_evacuated,
