--- a/src/rhubarbway/decisions/forward_answers.py
+++ b/src/rhubarbway/decisions/forward_answers.py
@@ -6,11 +6,14 @@
 from random import Random
 
 from rhubarbway.decisions.records import greatest_records
+from rhubarbway.decisions.room import ShardOutlook
 from rhubarbway.model import ExecutionStatus, ForwardedAnswer, ReplicaReply, Route
 
+# Status of the refusals of this host.
+REFUSED_STATUS = 503
 # Statuses that assert that a request has not run. A server's reply with one of them is not relayed,
 # since another attempt at the request may have run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, REFUSED_STATUS})
 # Delay before a refused caller may retry, seconds. A random part of up to RETRY_AFTER_JITTER_S is
 # added, so that callers do not retry together.
 RETRY_AFTER_S = 0.1
@@ -48,12 +51,25 @@
 ) -> ForwardedAnswer:
     """Return the answer to a request that has not run and will not run."""
     return ForwardedAnswer(
-        status=503,
+        status=REFUSED_STATUS,
         retry_after_s=retry_after_s + RETRY_AFTER_JITTER_S * random.random(),
         detail=detail,
     )
 
 
+def refusal_for_room(outlook: ShardOutlook, retry_after_s: float) -> ForwardedAnswer:
+    """Return the answer to a request for which there is no room before ``retry_after_s``."""
+    return ForwardedAnswer(
+        status=REFUSED_STATUS,
+        retry_after_s=retry_after_s,
+        lacks_room=True,
+        detail=(
+            f"no room: expected wait {outlook.wait_s * 1000:.0f} ms, "
+            f"exchange {outlook.exchange_s * 1000:.0f} ms; it has not run"
+        ),
+    )
+
+
 def failed_answer(*, ran: ExecutionStatus, timed_out: bool, random: Random) -> ForwardedAnswer:
     """Return the answer to a request without a usable reply."""
     if ran is ExecutionStatus.NOT_RUN:
--- /dev/null
+++ b/src/rhubarbway/decisions/server_load.py
@@ -0,0 +1,127 @@
+"""Work that an entry host has sent to one server or holds for it, and how fast the server is.
+
+The slowness in ``ServerState`` includes the time that attempts wait on this host for a connection.
+The pace here does not, so that wait and service can be estimated separately: a wait shows that room
+is short, and ends when less is sent, whereas a slow server stays slow.
+"""
+
+from __future__ import annotations
+
+from typing import Generic
+
+from rhubarbway.decisions.attempt_queue import Attempt, AttemptQueue, rank_of
+
+# Weight of the newest exchange in the pace.
+PACE_EWMA_WEIGHT = 0.3
+# Time in which the part of the pace above 1 halves without new exchanges, seconds.
+PACE_HALF_LIFE_S = 2.0
+# A running exchange is on average half done.
+REMAINING_FRACTION = 0.5
+# An exchange that takes longer than this multiple of the expected time suggests that the server is
+# paused. The pause is expected to last for OVERDUE_WEIGHT times as long as it already has.
+OVERDUE_FACTOR = 2.0
+OVERDUE_WEIGHT = 2.0
+
+
+class RunningExchange:
+    """Typical time of a running exchange, and the instant at which it began."""
+
+    __slots__ = ("exchange_s", "started_at")
+
+    def __init__(self, *, exchange_s: float, started_at: float) -> None:
+        self.exchange_s = exchange_s
+        self.started_at = started_at
+
+
+class ServerLoad(Generic[Attempt]):
+    """Attempts of this host at one server; the pool of the server guards it with a lock.
+
+    The estimates may be read without the lock.
+
+    Attributes
+    ----------
+    queued : AttemptQueue
+        Attempts that wait for a connection.
+    running : dict of int to RunningExchange
+        The attempts on a connection, by attempt number.
+    pace : float
+        EWMA of the ratio of exchange times to the typical ones of their routes; above 1 the server
+        is slower than typical.
+    """
+
+    __slots__ = ("measured_at", "pace", "queued", "running")
+
+    def __init__(self) -> None:
+        self.queued: AttemptQueue[Attempt] = AttemptQueue()
+        self.running: dict[int, RunningExchange] = {}
+        self.pace = 1.0
+        self.measured_at = float("-inf")
+
+    def record_start(self, attempt_number: int, exchange_s: float, now: float) -> None:
+        """Record that an attempt got a connection; ``exchange_s`` is its typical exchange time."""
+        self.running[attempt_number] = RunningExchange(exchange_s=exchange_s, started_at=now)
+
+    def record_end(
+        self, attempt_number: int, *, took_s: float, was_answered: bool, now: float
+    ) -> None:
+        """Record the end of an exchange that took ``took_s``.
+
+        The time of an exchange without an answer is a lower bound, so it only raises the pace.
+        """
+        exchange = self.running.pop(attempt_number, None)
+        if exchange is None or exchange.exchange_s <= 0.0:
+            return
+        ratio = took_s / exchange.exchange_s
+        current = self.current_pace(now)
+        if was_answered or ratio > current:
+            self.pace = current + PACE_EWMA_WEIGHT * (ratio - current)
+            self.measured_at = now
+
+    def current_pace(self, now: float) -> float:
+        """Return the pace; its part above 1 decays with the time since the last exchange."""
+        excess = self.pace - 1.0
+        if excess <= 0.0:
+            return self.pace
+        return 1.0 + excess * 0.5 ** ((now - self.measured_at) / PACE_HALF_LIFE_S)
+
+    def expected_pace(self, *, slowness: float, now: float) -> float:
+        """Return the pace to expect; without recent exchanges, the slowness if that is higher.
+
+        The slowness may come from other hosts, and includes waits, so own exchanges take
+        precedence.
+        """
+        pace = self.current_pace(now)
+        is_recent = now - self.measured_at < PACE_HALF_LIFE_S
+        return pace if is_recent else max(pace, slowness)
+
+    def exchange_s(self, typical_exchange_s: float, *, pace: float, now: float) -> float:
+        """Return the expected time of an exchange with the server, without a wait, seconds.
+
+        Parameters
+        ----------
+        typical_exchange_s : float
+            Typical time of an exchange on the route, seconds.
+        pace : float
+            ``expected_pace`` of the server.
+        """
+        overdue_s = max(
+            (
+                now - exchange.started_at - OVERDUE_FACTOR * pace * exchange.exchange_s
+                for exchange in list(self.running.values())
+            ),
+            default=0.0,
+        )
+        return typical_exchange_s * pace + OVERDUE_WEIGHT * max(0.0, overdue_s)
+
+    def is_full(self, max_connections: float) -> bool:
+        """Whether a new attempt would have to wait for a connection."""
+        return len(self.running) >= max_connections
+
+    def wait_s(self, *, priority: int, max_connections: float, pace: float) -> float:
+        """Return the expected wait of a first attempt for a connection to the server, seconds."""
+        if not self.is_full(max_connections):
+            return 0.0
+        running = list(self.running.values())
+        work_s = REMAINING_FRACTION * sum(exchange.exchange_s for exchange in running)
+        work_s += self.queued.work_ahead_s(rank_of(priority, is_extra=False))
+        return work_s * pace / max_connections
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Collection, Iterable
 
+from rhubarbway.decisions.server_load import ServerLoad
 from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
 
 # Weight of the newest ratio in the exponentially weighted moving average (EWMA).
@@ -78,6 +79,8 @@
         Whether the slowness comes from requests of this host, not from a report of another host.
     leaving : bool
         Whether the server has announced that it leaves.
+    load : ServerLoad
+        Attempts that run on connections or wait for one, and the pace of the server.
     needs_connection : bool
         Whether a request would have to open a connection first.
     quiet_until : float
@@ -92,6 +95,7 @@
         "observed_at",
         "is_first_hand",
         "leaving",
+        "load",
         "max_connections",
         "in_flight",
         "needs_connection",
@@ -104,6 +108,7 @@
     def __init__(self, *, server: BackendServer, now: float) -> None:
         self.server = server
         self.in_flight: dict[int, float] = {}
+        self.load: ServerLoad = ServerLoad()
         self.slowness = 1.0
         self.observed_at = now
         self.is_first_hand = False
--- a/src/rhubarbway/decisions/shard_shedding.py
+++ b/src/rhubarbway/decisions/shard_shedding.py
@@ -61,7 +61,12 @@
 
 
 def select_shed_shards(
-    route: Route, expected_s: Mapping[str, float], *, remaining_s: float, random: Random
+    route: Route,
+    expected_s: Mapping[str, float],
+    *,
+    remaining_s: float,
+    random: Random,
+    is_scarce: bool = False,
 ) -> set[str]:
     """Return the shards of a request to shed, at most as many as the answer may lack.
 
@@ -74,9 +79,14 @@
         Expected latency of the best server of each shard, seconds; infinite if no server is known.
     remaining_s : float
         Time until the target deadline, seconds.
+    is_scarce : bool
+        Whether room is scarce. Any further shard may then be late as well, so only half of those
+        that the answer may lack are shed.
     """
     unreachable = {shard for shard, seconds in expected_s.items() if seconds == math.inf}
     dispensable = dispensable_shards(route) - len(unreachable)
+    if is_scarce:
+        dispensable = (dispensable + 1) // 2
     if dispensable <= 0:
         return set()
     drawn_shards = [
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -23,6 +23,7 @@
 from rhubarbway.model import Finding
 from rhubarbway.platform.callers import request_from_http, response_to_http
 from rhubarbway.platform.delegated_requests import (
+    answer_of_delegate,
     delegated_request_encoder,
     delegated_version_and_elapsed,
     reply_from_delegate,
@@ -83,7 +84,7 @@
     make_codec=make_delegate_codec,
     decode_origin=delegated_version_and_elapsed,
     decode=request_from_http,
-    encode=response_to_http,
+    encode=answer_of_delegate,
 )
 
 
--- a/src/rhubarbway/model/forwarding.py
+++ b/src/rhubarbway/model/forwarding.py
@@ -90,6 +90,8 @@
     is_failure : bool or None
         Whether the reply counts as a failure of the replica; None for the rule of its status, 500
         and above. The failures that a delegate relays are not its own.
+    lacks_room : bool
+        Whether a delegate refused the request because there is no room for it.
     """
 
     __slots__ = (
@@ -98,6 +100,7 @@
         "headers",
         "idle_timeout_s",
         "is_failure",
+        "lacks_room",
         "misdirected",
         "ran",
         "signature",
@@ -116,7 +119,9 @@
         closes_connection: bool = False,
         idle_timeout_s: float | None = None,
         is_failure: bool | None = None,
+        lacks_room: bool = False,
     ) -> None:
+        self.lacks_room = lacks_room
         self.is_failure = status >= 500 if is_failure is None else is_failure
         self.status = status
         self.headers = headers
@@ -252,6 +257,8 @@
         Time after which a refused caller may retry, seconds.
     detail : str
         Reason of a failure that originates on this host.
+    lacks_room : bool
+        Whether the request was refused at arrival because it would have waited too long for room.
     target_deadline : float or None
         Target deadline of the request, for a partial answer that has not missed it: the
         ``time.monotonic()`` instant until which missing shards are waited for. The wait may have
@@ -261,6 +268,7 @@
     __slots__ = (
         "body",
         "detail",
+        "lacks_room",
         "missing_shards",
         "reply",
         "retry_after_s",
@@ -280,7 +288,9 @@
         retry_after_s: float | None = None,
         detail: str = "",
         target_deadline: float | None = None,
+        lacks_room: bool = False,
     ) -> None:
+        self.lacks_room = lacks_room
         self.target_deadline = target_deadline
         self.status = status
         self.body = body
--- a/src/rhubarbway/platform/delegated_requests.py
+++ b/src/rhubarbway/platform/delegated_requests.py
@@ -5,11 +5,21 @@
 import time
 from collections.abc import Callable, Mapping
 
+from werkzeug.wrappers import Response
+
 from rhubarbway.edge.http_client import Reply
-from rhubarbway.model import BackendServer, ExecutionStatus, ForwardedRequest, ReplicaReply
+from rhubarbway.model import (
+    BackendServer,
+    ExecutionStatus,
+    ForwardedAnswer,
+    ForwardedRequest,
+    ReplicaReply,
+)
+from rhubarbway.platform.callers import response_to_http
 from rhubarbway.platform.headers import (
     DEADLINE_MS,
     DELEGATED_ELAPSED_MS,
+    DELEGATED_NO_ROOM,
     DELEGATED_VERSION,
     HOP_BY_HOP,
     REQUEST_ID,
@@ -79,18 +89,28 @@
         return None
     is_refused = reply.status == REFUSED_STATUS
     options = connection_options(headers_by_name)
+    excluded = HOP_BY_HOP | options | {"content-length", DELEGATED_NO_ROOM.lower()}
     return ReplicaReply(
         status=reply.status,
-        headers=exclude_headers(reply.headers, excluded=HOP_BY_HOP | options | {"content-length"}),
+        headers=exclude_headers(reply.headers, excluded=excluded),
         body=reply.body,
         signature=headers_by_name.get(SIGNATURES.lower(), ""),
         ran=ExecutionStatus.NOT_RUN if is_refused else ExecutionStatus.RUN,
         closes_connection="close" in options,
         idle_timeout_s=MAX_IDLE_TIMEOUT_S,
         is_failure=False,
+        lacks_room=is_refused and headers_by_name.get(DELEGATED_NO_ROOM.lower()) == "1",
     )
 
 
+def answer_of_delegate(answer: ForwardedAnswer, *, request_id: str) -> Response:
+    """Return the HTTP response that carries an answer to the host that delegated the request."""
+    response = response_to_http(answer, request_id=request_id)
+    if answer.lacks_room:
+        response.headers[DELEGATED_NO_ROOM] = "1"
+    return response
+
+
 def delegated_version_and_elapsed(headers: Mapping[str, str]) -> tuple[int, float] | None:
     """Return the sender's version and the elapsed time in seconds, or None if one is invalid.
 
--- a/src/rhubarbway/platform/headers.py
+++ b/src/rhubarbway/platform/headers.py
@@ -31,6 +31,10 @@
 # back to the sender. The delegate counts its target latency from then.
 DELEGATED_ELAPSED_MS = "X-Rhubarbway-Elapsed-Ms"
 
+# "1" in the answer of a delegate that refused the request because there is no room for it. The host
+# that the caller reached passes such a refusal on and does not run the fan-out itself.
+DELEGATED_NO_ROOM = "X-Rhubarbway-No-Room"
+
 HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -223,7 +223,8 @@
         if outcome is None:
             return None
         self.metrics.count_delegation(end=outcome.end.value)
-        if outcome.ran is ExecutionStatus.NOT_RUN:
+        lacks_room = outcome.reply is not None and outcome.reply.lacks_room
+        if outcome.ran is ExecutionStatus.NOT_RUN and not lacks_room:
             self.log.info(
                 "Delegated request not taken; running it here.",
                 request_id=request.request_id,
@@ -259,6 +260,7 @@
             deadline=deadline,
             submitted_at=now,
             typical_s=self.latencies.for_route(route).typical_s,
+            priority=route.priority,
             deliver=inbox.put,
         )
         pool.submit(attempt)
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -9,7 +9,11 @@
 
 from rhubarbway.decisions.answer_margin import AnswerMargin
 from rhubarbway.decisions.crash_guard import request_digest
-from rhubarbway.decisions.forward_answers import STARTING_RETRY_AFTER_S, refusal
+from rhubarbway.decisions.forward_answers import (
+    REFUSED_STATUS,
+    STARTING_RETRY_AFTER_S,
+    refusal,
+)
 from rhubarbway.decisions.sliding_window_budget import SlidingWindowBudget
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import ExchangeOutcome, ForwardedAnswer, ForwardedRequest, RoutingTable
@@ -48,6 +52,7 @@
         "log",
         "metrics",
         "random",
+        "reported_level",
         "routing",
         "servers",
         "zone",
@@ -60,6 +65,7 @@
         # Tasks write to it without a lock, since a lost update only loses one value of many.
         self.answer_margin = AnswerMargin()
         self.random = Random()
+        self.reported_level = 0.0
         self.log = component_logger("forwarding")
         self.crashing_requests: CrashingRequestService
         self.metrics: MetricsService
@@ -82,6 +88,7 @@
             next_attempt_number=itertools.count(1).__next__,
             hedge_delay_s=self.latencies.hedge_delay_s,
             typical_s=lambda route: self.latencies.for_route(route).typical_s,
+            exchange_s=lambda route: self.latencies.for_route(route).exchange_s,
             processing_s=lambda route: self.answer_margin.margin_s(
                 target_latency_s=route.target_latency_s
             ),
@@ -109,6 +116,7 @@
         with self.budget.lock:
             self.budget.budget.retain_services(table.services)
         self.context.send_checks.retain_services(table.services)
+        self.context.arrivals.retain_routes({route.name for route in table.routes})
 
     def record_exchange(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
         """Record the outcome of an attempt in the metrics."""
@@ -165,6 +173,13 @@
         self.record_answer(forwarder, answer, current.table.version)
         return answer
 
+    def report_load_level(self) -> None:
+        """Pass the load level to the metrics if it has changed noticeably."""
+        level = round(self.context.arrivals.level, 1)
+        if level != self.reported_level:
+            self.reported_level = level
+            self.metrics.set_load_level(level)
+
     def record_answer(
         self, forwarder: RequestForwarder, answer: ForwardedAnswer | None, version: int
     ) -> None:
@@ -172,6 +187,13 @@
         request, route = forwarder.request, forwarder.route
         took_s = time.monotonic() - request.received_at
         is_late = took_s > route.target_latency_s
+        if answer is not None and answer.status == REFUSED_STATUS:
+            self.metrics.count_request_refusal(
+                route=route.name,
+                priority=route.priority,
+                reason="no_room" if answer.lacks_room else "no_server",
+            )
+        self.report_load_level()
         self.metrics.observe_forwarded(
             host=route.host,
             route=route.name,
--- a/src/rhubarbway/services/forwarding_context.py
+++ b/src/rhubarbway/services/forwarding_context.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from rhubarbway.model import Route
+from rhubarbway.services.arrival_load import ArrivalLoad
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.invariants import Expect
 from rhubarbway.services.send_checks import SendChecks
@@ -33,6 +34,11 @@
         Returns the time after which an attempt on a route is hedged, seconds.
     typical_s : callable
         Returns the typical latency of a route, seconds.
+    exchange_s : callable or None
+        Returns the typical time of an exchange on a route, without the wait for a connection,
+        seconds; None for ``typical_s``.
+    arrivals : ArrivalLoad
+        Admitted and refused requests of this host, and the return times that it has promised.
     processing_s : callable
         Returns the time that an answer of a route needs from the end of its wait until it is sent,
         seconds.
@@ -49,9 +55,11 @@
     """
 
     __slots__ = (
+        "arrivals",
         "budget",
         "clock",
         "crashing_requests",
+        "exchange_s",
         "expect",
         "hedge_delay_s",
         "log",
@@ -79,7 +87,11 @@
         expect: Expect,
         log,
         clock: Callable[[], float] = time.monotonic,
+        exchange_s: Callable[[Route], float] | None = None,
+        arrivals: ArrivalLoad | None = None,
     ) -> None:
+        self.exchange_s = exchange_s or typical_s
+        self.arrivals = arrivals or ArrivalLoad()
         self.clock = clock
         self.crashing_requests = crashing_requests
         self.pools_of = pools_of
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -50,6 +50,7 @@
         "forwarded_latency",
         "frontend_refusals",
         "invalid_items",
+        "load_level",
         "manifest_version",
         "missing_shards",
         "pending_observations",
@@ -58,6 +59,7 @@
         "query_failures",
         "query_latency",
         "registry",
+        "request_refusals",
         "stopping",
         "unexpected_data",
     )
@@ -113,6 +115,16 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.request_refusals = Counter(
+            "rhubarbway_request_refusals_total",
+            "Forwarded requests that this host refused, by route, priority and reason.",
+            registry=self.registry,
+        )
+        self.load_level = Gauge(
+            "rhubarbway_load_level",
+            "Expected time of requests as a fraction of the time until their targets.",
+            registry=self.registry,
+        )
         self.exchange_tally = LatencyTally(label_names=("service", "end"), bounds=LATENCY_BUCKETS_S)
         self.entry_hosts = Gauge(
             "rhubarbway_entry_hosts",
@@ -275,6 +287,15 @@
         """Count a request that was passed to another host, by the end of the exchange."""
         self.queue_observation(lambda: self.delegated_requests.inc({"end": end}))
 
+    def count_request_refusal(self, *, route: str, priority: int, reason: str) -> None:
+        """Count a forwarded request that this host refused, by the priority of its route."""
+        labels = {"route": route, "priority": str(priority), "reason": reason}
+        self.queue_observation(lambda: self.request_refusals.inc(labels))
+
+    def set_load_level(self, level: float) -> None:
+        """Record the expected time of requests as a fraction of the time until their targets."""
+        self.queue_observation(lambda: self.load_level.set({}, level))
+
     def count_invalid_item(self, *, kind: str) -> None:
         """Count a value of the store that could not be used."""
         self.queue_observation(lambda: self.invalid_items.inc({"kind": kind}))
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -8,7 +8,7 @@
     target_deadline,
 )
 from rhubarbway.decisions.forward_answers import failed_answer, merge_replies, relay_reply
-from rhubarbway.decisions.shard_shedding import select_shed_shards
+from rhubarbway.decisions.urgency import budget_reserve
 from rhubarbway.model import (
     UNDELIVERED_ENDS,
     ExchangeEnd,
@@ -18,7 +18,11 @@
     ForwardedRequest,
     Route,
 )
-from rhubarbway.services.arrival_checks import refusal_for_lack_of_servers
+from rhubarbway.services.arrival_checks import (
+    ArrivalPlan,
+    plan_arrival,
+    refusal_for_lack_of_servers,
+)
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.forwarding_log import log_decision, slowest_shards
@@ -113,10 +117,18 @@
 
     def run(self) -> ForwardedAnswer | None:
         """Forward the request and return the answer, or None if the caller has disconnected."""
-        refused = refusal_for_lack_of_servers(self.context, self.route, self.shards)
-        if refused is not None:
-            return refused
-        self.send_first_attempts()
+        plan = plan_arrival(
+            self.context,
+            self.request,
+            self.route,
+            self.shards,
+            typical_s=self.typical_s,
+            target_deadline=self.target_deadline,
+            deadline=self.attempt_deadline,
+        )
+        if plan.refusal is not None:
+            return plan.refusal
+        self.send_first_attempts(plan)
         while not self.is_finished():
             now = self.context.clock()
             if now >= self.wait_deadline():
@@ -190,30 +202,14 @@
         """Return the expected latency of a request sent to a server now, seconds."""
         return expected_latency_s(self.context, pool, typical_s=self.typical_s, now=now)
 
-    def send_first_attempts(self) -> None:
+    def send_first_attempts(self, plan: ArrivalPlan) -> None:
         """Send the first attempt to each shard, unless it is overloaded or has no server in use."""
         now = self.context.clock()
-        chosen = {
-            shard.service: next(iter(self.ranked_pools(shard, now)), None)
-            for shard in self.shards.values()
-        }
-        shed_shards: set[str] = set()
-        if self.is_fan_out:
-            expected = {
-                service: self.expected_latency_s(pool, now) if pool else float("inf")
-                for service, pool in chosen.items()
-            }
-            shed_shards = select_shed_shards(
-                self.route,
-                expected,
-                remaining_s=self.target_deadline - now,
-                random=self.context.random,
-            )
         for shard in self.shards.values():
             self.context.budget.record_request(shard.service, now=now)
             self.context.send_checks.record_request(shard.service, now=now)
-            pool = chosen[shard.service]
-            if pool is None or shard.service in shed_shards:
+            pool = plan.chosen[shard.service]
+            if pool is None or shard.service in plan.shed:
                 self.give_up(shard)
                 self.log_decision(
                     "Overloaded shard skipped." if pool else "No known server for the shard.", shard
@@ -244,6 +240,9 @@
             deadline=self.attempt_deadline,
             submitted_at=now,
             typical_s=self.typical_s,
+            exchange_s=self.context.exchange_s(self.route),
+            priority=self.route.priority,
+            is_extra=bool(shard.attempt_log),
             deliver=self.inbox.put,
         )
         shard.sent_count += 1
@@ -308,6 +307,9 @@
             return False
         if now + self.expected_latency_s(pool, now) > reply_deadline:
             return False
+        reserve += budget_reserve(
+            self.route.priority, is_scarce=self.context.arrivals.is_scarce(now)
+        )
         if not self.context.budget.try_acquire(shard.service, now=now, reserve=reserve):
             self.log_decision("Extra attempt not sent: retry budget used up.", shard)
             return False
@@ -399,11 +401,10 @@
             for attempt in shard.in_flight.values():
                 attempt.cancel()
 
-    def cancel_all_attempts(self) -> None:
-        """Cancel all attempts in flight, including hedges to shards that have replied."""
-        for shard in self.shards.values():
-            for attempt in shard.in_flight.values():
-                attempt.cancel()
+    def cancel_all_attempts(self) -> bool:
+        """Cancel all attempts in flight; return whether it is certain that none was sent."""
+        attempts = [one for shard in self.shards.values() for one in shard.in_flight.values()]
+        return all([attempt.cancel() for attempt in attempts])
 
     def build_answer(self) -> ForwardedAnswer:
         """Return the answer that the replies so far allow, or a failure.
@@ -433,11 +434,9 @@
             reply = shard.reply or (shard.last_failure if not shard.in_flight else None)
             if reply is not None and (answer := relay_reply(reply)) is not None:
                 return answer
-        ran = ExecutionStatus.NOT_RUN
-        for shard in shards:
-            if shard.in_flight or shard.ran is not ExecutionStatus.NOT_RUN:
-                ran = ExecutionStatus.UNKNOWN
-        self.cancel_all_attempts()
+        was_unsent = self.cancel_all_attempts()
+        is_not_run = was_unsent and all(one.ran is ExecutionStatus.NOT_RUN for one in shards)
+        ran = ExecutionStatus.NOT_RUN if is_not_run else ExecutionStatus.UNKNOWN
         timed_out = self.context.clock() >= self.wait_deadline()
         refused = None
         if ran is ExecutionStatus.NOT_RUN:
--- a/src/rhubarbway/services/route_latencies.py
+++ b/src/rhubarbway/services/route_latencies.py
@@ -18,19 +18,26 @@
 
 
 class RouteLatency:
-    """Typical latency and latency distribution of the replies on one route, seconds."""
+    """Typical latency and latency distribution of the replies on one route, seconds.
 
-    __slots__ = ("distribution", "typical_s")
+    ``exchange_s`` is the typical time of an exchange without the wait for a connection.
+    """
+
+    __slots__ = ("distribution", "exchange_s", "typical_s")
 
     def __init__(self, *, typical_s: float, now: float) -> None:
         self.typical_s = typical_s
+        self.exchange_s = typical_s
         self.distribution = LatencyDistribution(now=now)
 
-    def record(self, seconds: float, now: float) -> None:
-        """Record the latency of one reply.
+    def record(self, seconds: float, now: float, *, exchange_s: float | None = None) -> None:
+        """Record the latency of one reply, and the part of it that its exchange took.
 
-        In the typical latency it counts as at most four times the current value.
+        In the typical times it counts as at most four times the current value.
         """
+        if exchange_s is not None:
+            capped_s = min(exchange_s, 4 * self.exchange_s)
+            self.exchange_s += EWMA_WEIGHT * (capped_s - self.exchange_s)
         self.typical_s += EWMA_WEIGHT * (min(seconds, 4 * self.typical_s) - self.typical_s)
         self.distribution.record(seconds, now)
 
@@ -61,7 +68,12 @@
         latency = self.by_route.get(attempt.route_name)
         if latency is not None and outcome.end is ExchangeEnd.ANSWERED:
             with self.lock:
-                latency.record(outcome.latency_s, self.clock())
+                now = self.clock()
+                latency.record(
+                    outcome.latency_s,
+                    now,
+                    exchange_s=None if attempt.sent_at is None else now - attempt.sent_at,
+                )
 
     def hedge_delay_s(self, route: Route) -> float:
         """Return the time after which an attempt in flight is hedged, seconds."""
--- a/src/rhubarbway/services/server_attempt.py
+++ b/src/rhubarbway/services/server_attempt.py
@@ -23,6 +23,13 @@
         Instant at which the attempt was submitted to the pool.
     typical_s : float
         Typical latency of the route, seconds.
+    exchange_s : float
+        Typical time of an exchange with a server on the route, without the wait for a connection,
+        seconds.
+    priority : int
+        Priority of the route; 0 is the highest.
+    is_extra : bool
+        Whether the attempt is a hedge or a retry.
     deliver : callable
         Takes the outcome; called exactly once.
     connection : ExchangeConnection or None
@@ -33,6 +40,8 @@
     waiting_since : float or None
         Instant at which the attempt began to wait for the server or for a free connection to it;
         None until the task of an idle or new connection has picked it up.
+    sent_at : float or None
+        Instant at which the exchange with the server began; None before.
     """
 
     __slots__ = (
@@ -41,9 +50,13 @@
         "connection",
         "deadline",
         "deliver",
+        "exchange_s",
+        "is_extra",
         "number",
+        "priority",
         "request",
         "route_name",
+        "sent_at",
         "shard",
         "submitted_at",
         "typical_s",
@@ -61,7 +74,14 @@
         submitted_at: float,
         typical_s: float,
         deliver: Callable[[ExchangeOutcome], None],
+        exchange_s: float | None = None,
+        priority: int = 0,
+        is_extra: bool = False,
     ) -> None:
+        self.exchange_s = typical_s if exchange_s is None else exchange_s
+        self.priority = priority
+        self.is_extra = is_extra
+        self.sent_at: float | None = None
         self.number = number
         self.request = request
         self.shard = shard
@@ -80,11 +100,19 @@
         """Instant from which the latency of the server is measured."""
         return self.submitted_at if self.waiting_since is None else self.waiting_since
 
-    def cancel(self) -> None:
-        """Cancel the attempt; a call that has begun is aborted, which ends its connection."""
+    def cancel(self) -> bool:
+        """Cancel the attempt; a call that has begun is aborted, which ends its connection.
+
+        Returns
+        -------
+        bool
+            Whether it is certain that the attempt was not sent and will not be sent.
+        """
         # ``run_attempt`` sets ``connection`` before it reads ``cancelled``, so either it sees the
         # cancellation or the call is aborted here.
         self.cancelled = True
         connection = self.connection
         if connection is not None:
             connection.abort(self.call_number)
+        # The number is reserved before ``run_attempt`` reads ``cancelled`` for the last time.
+        return connection is None and self.call_number == 0
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -5,7 +5,6 @@
 import queue
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -133,7 +132,6 @@
         "lock",
         "log",
         "observe",
-        "queued",
         "server",
         "side",
         "state",
@@ -171,7 +169,6 @@
         self.idle: list[ServerConnection] = []
         # Number of connection tasks; each owns one connection.
         self.connection_count = 0
-        self.queued: deque[ServerAttempt] = deque()
         self.closed = False
 
     def submit(self, attempt: ServerAttempt) -> None:
@@ -185,12 +182,14 @@
                 connection = self.idle.pop()
                 self.state.needs_connection = not self.idle
                 self.tasks.mark_busy(connection)
+                self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
                 connection.inbox.put(attempt)
                 return
             if self.connection_count >= self.state.max_connections:
                 attempt.waiting_since = attempt.submitted_at
-                self.queued.append(attempt)
+                self.state.load.queued.push(attempt)
                 return
+            self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
             self.connection_count += 1
         self.tasks.start(self, attempt)
 
@@ -222,7 +221,7 @@
         An attempt that a connection task has taken, but not sent, ends in ``run_attempt``.
         """
         with self.lock:
-            queued, self.queued = self.queued, deque()
+            queued = self.state.load.queued.drain()
             outcomes = [(attempt, self.withdrawn_outcome(attempt)) for attempt in queued]
             for _, outcome in outcomes:
                 self.state.record_outcome(outcome, typical_s=0.0, now=time.monotonic())
@@ -285,9 +284,7 @@
         while attempt is not None:
             outcome = self.run_attempt_safely(connection, attempt)
             with self.lock:
-                self.state.record_outcome(
-                    outcome, typical_s=attempt.typical_s, now=time.monotonic()
-                )
+                self.record_end(attempt, outcome)
                 next_attempt = self.take_queued_or_become_idle(connection)
             self.observe(attempt, outcome)
             attempt.deliver(outcome)
@@ -296,14 +293,27 @@
             self.connection_count -= 1
         connection.http.disconnect()
 
+    def record_end(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
+        """Record the end of an attempt that had a connection; the caller holds the lock."""
+        now = time.monotonic()
+        self.state.record_outcome(outcome, typical_s=attempt.typical_s, now=now)
+        self.state.load.record_end(
+            attempt.number,
+            took_s=0.0 if attempt.sent_at is None else now - attempt.sent_at,
+            was_answered=outcome.end is ExchangeEnd.ANSWERED,
+            now=now,
+        )
+
     def take_queued_or_become_idle(self, connection: ServerConnection) -> ServerAttempt | None:
-        """Return the attempt that was queued first, or mark the connection idle and return None.
+        """Return the queued attempt to send next, or mark the connection idle and return None.
 
         The task of the connection ends instead if the pool is closed, or if another connection
         needs the task. The caller holds the lock.
         """
-        if self.queued:
-            return self.queued.popleft()
+        attempt = self.state.load.queued.pop()
+        if attempt is not None:
+            self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
+            return attempt
         if self.closed or not self.tasks.try_keep_idle(connection, self):
             connection.inbox.put(None)
         else:
@@ -364,6 +374,7 @@
         try:
             if attempt.cancelled:
                 return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
+            attempt.sent_at = time.monotonic()
             reply = http.exchange(
                 request.method,
                 request.target,
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -7,6 +7,7 @@
 
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
 from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
+from rhubarbway.services.servers import connection_limit
 from rhubarbway_emulator.clock import VirtualClock
 from rhubarbway_emulator.hosts import EmulatedHost, HostConfig
 from rhubarbway_emulator.patterns import Pattern, RequestKind
@@ -22,6 +23,11 @@
 # Reported latency of a run without any answer.
 NO_ANSWER_LATENCY_S = float("inf")
 
+# A refusal is prompt within this fraction of the target latency.
+PROMPT_REFUSAL_FRACTION = 0.25
+# Part of its remaining time that a caller waits at most before it comes back.
+MAX_RETURN_FRACTION = 1.0 / 3.0
+
 
 class KindResult:
     """Results of one kind of request, as its callers see them.
@@ -33,7 +39,13 @@
     partial : int
         Number of answers with status 200 in which shards are missing, in time or late.
     refused : int
-        Number of answers with status 503.
+        Number of requests that end with status 503, after the return of the caller if it returns.
+    returned : int
+        Number of requests whose caller came back after a refusal.
+    failed : int
+        Number of other requests without an answer with status 200 in time.
+    refusal_delays : list of float
+        Time until each refusal, seconds.
     latencies : list of float
         Latencies of the answers with status 200, seconds; one after the deadline does not count.
     total_value : float
@@ -42,11 +54,14 @@
     """
 
     __slots__ = (
+        "failed",
         "in_time",
         "latencies",
         "partial",
+        "refusal_delays",
         "refused",
         "request_count",
+        "returned",
         "total_value",
     )
 
@@ -55,23 +70,52 @@
         self.in_time = 0
         self.partial = 0
         self.refused = 0
+        self.returned = 0
+        self.failed = 0
+        self.refusal_delays: list[float] = []
         self.total_value = 0.0
         self.latencies: list[float] = []
 
     def record(
-        self, kind: RequestKind, shards: int, answer: ForwardedAnswer | None, latency_s: float
+        self,
+        kind: RequestKind,
+        shards: int,
+        answer: ForwardedAnswer | None,
+        latency_s: float,
+        *,
+        refused_after_s: float | None = None,
     ) -> None:
-        """Count the answer to one request, or None if the caller has left."""
+        """Count the answer to one request, or None if the caller has left.
+
+        Parameters
+        ----------
+        latency_s : float
+            Latency of the answer, counted from the last attempt of the caller, seconds.
+        refused_after_s : float or None
+            Time after which the caller's first attempt was refused; None if it was not.
+        """
         self.request_count += 1
+        if refused_after_s is not None:
+            self.returned += 1
+            self.refusal_delays.append(refused_after_s)
         if answer is None or answer.status != 200 or latency_s > kind.deadline_s:
-            self.refused += answer is not None and answer.status == 503
+            if answer is not None and answer.status == 503:
+                self.refused += 1
+                self.refusal_delays.append(latency_s)
+            else:
+                self.failed += 1
             return
         self.latencies.append(latency_s)
         self.partial += answer.missing_shards > 0
         coverage = 1.0 - answer.missing_shards / shards
         is_in_time = latency_s <= kind.target_latency_s
         self.in_time += is_in_time
-        self.total_value += coverage**2 * (1.0 if is_in_time else kind.late_value)
+        value = 1.0 if is_in_time else kind.late_value
+        if refused_after_s is not None:
+            # A prompt refusal costs half of what a late answer loses.
+            was_prompt = refused_after_s <= PROMPT_REFUSAL_FRACTION * kind.target_latency_s
+            value = (value + kind.late_value) / 2 if was_prompt else kind.late_value
+        self.total_value += coverage**2 * value
 
     def quantile(self, share: float) -> float:
         """Return a quantile of the latencies, seconds; infinite without answers."""
@@ -94,6 +138,7 @@
     __slots__ = (
         "arrived_attempts",
         "by_kind",
+        "by_kind_in_burst",
         "cross_zone_attempts",
         "first_attempts",
         "new_connections",
@@ -102,6 +147,8 @@
 
     def __init__(self, *, kinds: Sequence[RequestKind]) -> None:
         self.by_kind = {kind.name: KindResult() for kind in kinds}
+        # Requests that callers sent during the burst only.
+        self.by_kind_in_burst = {kind.name: KindResult() for kind in kinds}
         # Attempts that reached a server, attempts sent to another zone, and first attempts: one for
         # each shard of each request, whether or not it was sent.
         self.arrived_attempts = 0
@@ -117,6 +164,12 @@
         request_count = sum(kind.request_count for kind in self.by_kind.values())
         return sum(kind.total_value for kind in self.by_kind.values()) / max(1, request_count)
 
+    def burst_value(self, kinds: Sequence[RequestKind]) -> float:
+        """Return the mean value of a request of the burst, each kind weighted by its worth."""
+        asked = sum(kind.worth * self.by_kind_in_burst[kind.name].request_count for kind in kinds)
+        earned = sum(kind.worth * self.by_kind_in_burst[kind.name].total_value for kind in kinds)
+        return earned / asked if asked else 0.0
+
     @property
     def attempt_ratio(self) -> float:
         """Number of attempts that reached a server for each first attempt."""
@@ -134,6 +187,7 @@
             idempotent=True,
             timeout_s=kind.deadline_s,
             target_latency_s=kind.target_latency_s,
+            priority=kind.priority,
             max_attempts=2,
             shards=shards,
             record_limit=5,
@@ -165,6 +219,7 @@
                 ),
                 phases=pattern.faults(shard, index),
                 random=Random(random.random()),
+                queue_limit=pattern.queue_limit,
             )
             for index in range(pattern.server_zones)
         ]
@@ -182,6 +237,11 @@
         send_cpu_s=pattern.send_cpu_s,
         reply_cpu_s=pattern.reply_cpu_s,
         retry_allowance=pattern.retry_allowance,
+        connection_limit=(
+            float("inf")
+            if pattern.connection_cap is None
+            else connection_limit(pattern.connection_cap, sum(pattern.zones))
+        ),
     )
     service_times = {kind.name: (kind.service_time_s, kind.sigma) for kind in pattern.kinds}
     hosts = [
@@ -208,8 +268,14 @@
     routes = build_routes(pattern)
     for kind in pattern.kinds:
         for at in arrival_times(kind, pattern, random):
-            host = random.choice(hosts)
-            task = caller_task(host=host, kind=kind, route=routes[kind.name], result=result)
+            task = caller_task(
+                hosts=hosts,
+                kind=kind,
+                route=routes[kind.name],
+                result=result,
+                pattern=pattern,
+                random=random,
+            )
             clock.spawn_at(at, task)
     clock.run()
     clock.close()
@@ -248,34 +314,71 @@
 
 
 def caller_task(
-    *, host: EmulatedHost, kind: RequestKind, route: Route, result: RunResult
+    *,
+    hosts: Sequence[EmulatedHost],
+    kind: RequestKind,
+    route: Route,
+    result: RunResult,
+    pattern: Pattern,
+    random: Random,
 ) -> Callable[[], None]:
-    """Return the task of a caller that sends one request."""
-    clock = host.clock
+    """Return the task of a caller that sends one request, and comes back once if it is refused."""
+    clock = hosts[0].clock
 
     def send_request() -> None:
-        started_at = clock.now
-        clock.sleep(CALLER_DELAY_S)
-        request = ForwardedRequest(
-            request_id=f"{kind.name}-{started_at}",
-            method="GET",
-            target="/x",
-            host="h",
-            received_at=clock.now,
-            deadline=clock.now + kind.deadline_s,
-        )
-        answer = host.answer(request, route)
-        result.first_attempts += len(route.shards)
-        if started_at >= WARM_UP_S:
-            latency_s = clock.now + CALLER_DELAY_S - started_at
-            result.by_kind[kind.name].record(kind, len(route.shards), answer, latency_s)
+        started_at = attempt_at = clock.now
+        give_up_at = started_at + kind.deadline_s
+        answer = ask(random.choice(hosts), kind, route, result, deadline=give_up_at)
+        refused_after_s = None
+        if kind.returns and answer is not None and answer.status == 503:
+            refused_after_s = clock.now - started_at
+            delay_s = answer.retry_after_s or 0.0
+            clock.sleep(min(delay_s, MAX_RETURN_FRACTION * (give_up_at - clock.now)))
+            attempt_at = clock.now
+            answer = ask(random.choice(hosts), kind, route, result, deadline=give_up_at)
+        if started_at < WARM_UP_S:
+            return
+        by_kind = [result.by_kind]
+        if pattern.burst[0] <= started_at < pattern.burst[1]:
+            by_kind.append(result.by_kind_in_burst)
+        for results in by_kind:
+            results[kind.name].record(
+                kind,
+                len(route.shards),
+                answer,
+                clock.now - attempt_at,
+                refused_after_s=refused_after_s,
+            )
 
     return send_request
 
 
+def ask(
+    host: EmulatedHost, kind: RequestKind, route: Route, result: RunResult, *, deadline: float
+) -> ForwardedAnswer | None:
+    """Send a caller's request to a host and return the answer, or None after the deadline."""
+    clock = host.clock
+    sent_at = clock.now
+    clock.sleep(CALLER_DELAY_S)
+    request = ForwardedRequest(
+        request_id=f"{kind.name}-{sent_at}",
+        method="GET",
+        target="/x",
+        host="h",
+        received_at=clock.now,
+        deadline=max(deadline, clock.now),
+    )
+    answer = host.answer(request, route)
+    clock.sleep(CALLER_DELAY_S)
+    result.first_attempts += len(route.shards)
+    return answer
+
+
 def arrival_times(kind: RequestKind, pattern: Pattern, random: Random) -> list[float]:
     """Draw the arrival times of the requests of a kind from a Poisson process."""
     begin_s, end_s, factor = pattern.burst
+    if pattern.burst_factors is not None:
+        factor = pattern.burst_factors.get(kind.name, 1.0)
     instants = []
     at = 0.0
     while True:
@@ -290,24 +393,50 @@
     """Return a header and a row for each kind of request, over several runs.
 
     ``asked`` is the number of requests and ``value`` the mean value of one. ``in time``,
-    ``partial`` and ``refused`` are fractions of the requests.
+    ``partial``, ``refused``, ``failed`` and ``returned`` are fractions of the requests. Kinds whose
+    requests burst have a second row for the time of the burst.
     """
-    rows = [("kind", "asked", "value", "in time", "partial", "refused", "p50 ms", "p99 ms")]
+    rows = [
+        (
+            "kind",
+            "asked",
+            "value",
+            "in time",
+            "partial",
+            "refused",
+            "failed",
+            "returned",
+            "p50 ms",
+            "p99 ms",
+        )
+    ]
     for kind in pattern.kinds:
-        kind_results = [result.by_kind[kind.name] for result in results]
-        request_count = sum(one.request_count for one in kind_results)
-        pooled = KindResult()
-        pooled.latencies = [value for one in kind_results for value in one.latencies]
-        rows.append(
-            (
-                kind.name,
-                str(request_count),
-                f"{sum(one.total_value for one in kind_results) / max(1, request_count):.3f}",
-                f"{sum(one.in_time for one in kind_results) / max(1, request_count):.3f}",
-                f"{sum(one.partial for one in kind_results) / max(1, request_count):.3f}",
-                f"{sum(one.refused for one in kind_results) / max(1, request_count):.3f}",
-                f"{pooled.quantile(0.5) * 1000:.0f}",
-                f"{pooled.quantile(0.99) * 1000:.0f}",
+        rows.append(result_row(kind.name, [result.by_kind[kind.name] for result in results]))
+        if pattern.burst_factors is not None:
+            rows.append(
+                result_row("(burst)", [result.by_kind_in_burst[kind.name] for result in results])
             )
-        )
     return rows
+
+
+def result_row(label: str, kind_results: Sequence[KindResult]) -> tuple[str, ...]:
+    """Return the row of one kind of request over several runs."""
+    request_count = max(1, sum(one.request_count for one in kind_results))
+    pooled = KindResult()
+    pooled.latencies = [value for one in kind_results for value in one.latencies]
+
+    def fraction(count: float) -> str:
+        return f"{count / request_count:.3f}"
+
+    return (
+        label,
+        str(sum(one.request_count for one in kind_results)),
+        fraction(sum(one.total_value for one in kind_results)),
+        fraction(sum(one.in_time for one in kind_results)),
+        fraction(sum(one.partial for one in kind_results)),
+        fraction(sum(one.refused for one in kind_results)),
+        fraction(sum(one.failed for one in kind_results)),
+        fraction(sum(one.returned for one in kind_results)),
+        f"{pooled.quantile(0.5) * 1000:.0f}",
+        f"{pooled.quantile(0.99) * 1000:.0f}",
+    )
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -55,12 +55,15 @@
         CPU time for each attempt sent and each reply read, seconds.
     cross_zone_delay_s : float
         One-way delay to another zone, seconds.
+    connection_limit : float
+        Connections of one host to one server at a time.
     retry_ratio, retry_allowance : float
         Limits of the extra attempts to a service in each window of the retry budget: a share of
         the requests, plus a number over all hosts.
     """
 
     __slots__ = (
+        "connection_limit",
         "cross_zone_delay_s",
         "host_count",
         "reply_cpu_s",
@@ -78,7 +81,9 @@
         cross_zone_delay_s: float = 0.0044,
         retry_ratio: float = 0.2,
         retry_allowance: float = 58.0,
+        connection_limit: float = float("inf"),
     ) -> None:
+        self.connection_limit = connection_limit
         self.host_count = host_count
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -90,10 +95,19 @@
 class EmulatedPool:
     """Attempts of one host at one server, with the part of ``ServerPool`` that forwarding uses."""
 
-    __slots__ = ("asked_at", "emulated_server", "host", "idle_connections", "server", "state")
+    __slots__ = (
+        "asked_at",
+        "busy_connections",
+        "emulated_server",
+        "host",
+        "idle_connections",
+        "server",
+        "state",
+    )
 
     def __init__(self, *, host: EmulatedHost, emulated_server: EmulatedServer) -> None:
         self.idle_connections = 0
+        self.busy_connections = 0
         # When the server last asked for no requests, or announced that it leaves.
         self.asked_at = float("-inf")
         self.host = host
@@ -101,16 +115,54 @@
         self.server = emulated_server.server
         self.state = ServerState(server=emulated_server.server, now=host.clock.now)
         self.state.needs_connection = True
+        self.state.max_connections = host.config.connection_limit
 
     def submit(self, attempt: ServerAttempt) -> None:
-        """Send an attempt to the server."""
+        """Send an attempt to the server, or queue it until a connection is free."""
         self.state.record_sent(attempt.number, attempt.submitted_at)
+        if self.busy_connections >= self.state.max_connections:
+            attempt.waiting_since = attempt.submitted_at
+            self.state.load.queued.push(attempt)
+            return
+        self.start(attempt)
+
+    def start(self, attempt: ServerAttempt) -> None:
+        """Send an attempt on an idle or a new connection."""
+        self.busy_connections += 1
+        self.state.load.record_start(attempt.number, attempt.exchange_s, self.host.clock.now)
         needs_connection = self.idle_connections == 0
         self.idle_connections = max(0, self.idle_connections - 1)
         self.state.needs_connection = self.idle_connections == 0
         self.host.new_connections += needs_connection
         EmulatedExchange(pool=self, attempt=attempt).send(needs_connection=needs_connection)
 
+    def finish_exchange(self) -> None:
+        """Free the connection of an exchange, and send what waits for one."""
+        self.busy_connections -= 1
+        while self.busy_connections < self.state.max_connections:
+            attempt = self.state.load.queued.pop()
+            if attempt is None:
+                return
+            now = self.host.clock.now
+            if attempt.cancelled or now >= attempt.deadline:
+                self.end_unsent(attempt)
+            else:
+                self.start(attempt)
+
+    def end_unsent(self, attempt: ServerAttempt) -> None:
+        """Deliver the outcome of an attempt that was cancelled while it waited."""
+        now = self.host.clock.now
+        outcome = ExchangeOutcome(
+            attempt=attempt.number,
+            shard=attempt.shard,
+            server=self.server.id,
+            end=ExchangeEnd.CANCELLED,
+            ran=ExecutionStatus.NOT_RUN,
+            latency_s=now - attempt.latency_start,
+        )
+        self.state.record_outcome(outcome, typical_s=attempt.typical_s, now=now)
+        attempt.deliver(outcome)
+
     def apply_notice(self, quiet_s: float) -> None:
         """Apply what the server states in a reply that this host has just read."""
         now = self.host.clock.now
@@ -170,7 +222,9 @@
 
     def record_departure(self) -> None:
         """Record the instant from which the attempt waits for the server."""
-        self.attempt.waiting_since = self.pool.host.clock.now
+        self.attempt.sent_at = self.pool.host.clock.now
+        if self.attempt.waiting_since is None:
+            self.attempt.waiting_since = self.attempt.sent_at
 
     def deliver_request(self) -> None:
         """Hand the request to the server, unless the exchange has ended."""
@@ -227,6 +281,14 @@
             reply=REPLY if end is ExchangeEnd.ANSWERED else None,
         )
         self.pool.state.record_outcome(outcome, typical_s=self.attempt.typical_s, now=now)
+        sent_at = self.attempt.sent_at
+        self.pool.state.load.record_end(
+            self.attempt.number,
+            took_s=0.0 if sent_at is None else now - sent_at,
+            was_answered=end is ExchangeEnd.ANSWERED,
+            now=now,
+        )
+        self.pool.finish_exchange()
         host.latencies.record(self.attempt, outcome)
         self.attempt.deliver(outcome)
 
@@ -330,6 +392,7 @@
             next_attempt_number=itertools.count(1).__next__,
             hedge_delay_s=self.latencies.hedge_delay_s,
             typical_s=lambda route: self.latencies.for_route(route).typical_s,
+            exchange_s=lambda route: self.latencies.for_route(route).exchange_s,
             processing_s=lambda route: self.answer_margin.margin_s(
                 target_latency_s=route.target_latency_s
             ),
--- a/src/rhubarbway_emulator/main.py
+++ b/src/rhubarbway_emulator/main.py
@@ -42,6 +42,9 @@
             f"{attempt_ratio:.3f} attempts for each first attempt, "
             f"{cross_zone_share:.2f} of the attempts to another zone"
         )
+        if pattern.burst_factors is not None:
+            burst_value = sum(result.burst_value(pattern.kinds) for result in results) / seeds
+            typer.echo(f"  value of the burst, by worth of each kind: {burst_value:.3f}")
 
 
 def main() -> None:
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
 
-from rhubarbway_emulator.servers import FaultPhase
+from rhubarbway_emulator.servers import QUEUE_LIMIT, FaultPhase
 
 # Begin and end of a burst that does not occur, seconds.
 NEVER = float("inf")
@@ -25,6 +26,12 @@
         Minimum share of the shards in an answer.
     late_value : float
         Value of a complete late answer; a complete answer in time has the value 1.
+    priority : int
+        Priority of the route; 0 is the highest.
+    worth : float
+        Weight of the kind in the value of all requests.
+    returns : bool
+        Whether callers come back once after a refusal, at the instant that it names.
     """
 
     __slots__ = (
@@ -32,10 +39,13 @@
         "late_value",
         "min_coverage",
         "name",
+        "priority",
         "requests_per_s",
+        "returns",
         "service_time_s",
         "sigma",
         "target_latency_s",
+        "worth",
     )
 
     def __init__(
@@ -49,7 +59,13 @@
         min_coverage: float,
         sigma: float = 0.35,
         late_value: float = 0.1,
+        priority: int = 0,
+        worth: float = 1.0,
+        returns: bool = False,
     ) -> None:
+        self.priority = priority
+        self.worth = worth
+        self.returns = returns
         self.name = name
         self.target_latency_s = target_latency_s
         self.deadline_s = deadline_s
@@ -112,6 +128,32 @@
     requests_per_s=12.6,
     min_coverage=0.85,
 )
+# Two kinds that compete for the servers of ``UNEVEN_DEPLOYMENT``: wide searches, and urgent lookups
+# with a third of their target latency.
+CATALOGUE_SWEEP = RequestKind(
+    name="sweep",
+    target_latency_s=0.284,
+    deadline_s=2.51,
+    service_time_s=0.03,
+    requests_per_s=31.5,
+    min_coverage=0.95,
+    late_value=0.05,
+    priority=1,
+    worth=1.8,
+    returns=True,
+)
+PRESS_LOOKUP = RequestKind(
+    name="lookup",
+    target_latency_s=0.0922,
+    deadline_s=1.011,
+    service_time_s=0.0101,
+    requests_per_s=18.2,
+    min_coverage=0.85,
+    late_value=0.04,
+    priority=0,
+    worth=1.7,
+    returns=True,
+)
 
 # Returns the fault phases of a server from the index of its shard and its index in the shard.
 FaultPhases = Callable[[int, int], Sequence[FaultPhase]]
@@ -193,6 +235,18 @@
     return phases
 
 
+def scattered_slow_servers(
+    *, server_share: float, slowdown: float, begin_s: float, end_s: float
+) -> FaultPhases:
+    """Return fault phases in which a share of all servers is slow, so that shards differ."""
+
+    def phases(shard: int, index: int) -> Sequence[FaultPhase]:
+        is_affected = Random(f"{shard}/{index}").random() < server_share
+        return [FaultPhase(begin_s=begin_s, end_s=end_s, slowdown=slowdown)] if is_affected else ()
+
+    return phases
+
+
 class Pattern:
     """Load of callers on a deployment, and the faults of its servers.
 
@@ -209,6 +263,12 @@
         Duration of the periodic pauses of each server, and time between their starts.
     burst : tuple of (float, float, float)
         Begin and end of a period with a higher request rate, seconds, and the factor of the rate.
+    burst_factors : mapping of str to float
+        Factors of the rate in that period by kind of request, in place of the common one.
+    connection_cap : int or None
+        Connections that a server accepts from all hosts; None for any number.
+    queue_limit : int
+        Requests that may wait for a slot of a server.
     strong_hosts, strong_cores : int, float
         Number of hosts in each zone that have a larger processor, and their cores.
     send_cpu_s, reply_cpu_s : float
@@ -222,11 +282,14 @@
 
     __slots__ = (
         "burst",
+        "burst_factors",
+        "connection_cap",
         "duration_s",
         "faults",
         "kinds",
         "pause_interval_s",
         "pause_s",
+        "queue_limit",
         "reply_cpu_s",
         "retry_allowance",
         "send_cpu_s",
@@ -253,6 +316,9 @@
         pause_interval_s: float = 4.5,
         faults: FaultPhases = no_faults,
         burst: tuple[float, float, float] = (NEVER, NEVER, 1.0),
+        burst_factors: Mapping[str, float] | None = None,
+        connection_cap: int | None = None,
+        queue_limit: int = QUEUE_LIMIT,
         duration_s: float = 20.0,
         send_cpu_s: float = 0.0004,
         reply_cpu_s: float = 0.0004,
@@ -274,6 +340,9 @@
         self.pause_interval_s = pause_interval_s
         self.faults = faults
         self.burst = burst
+        self.burst_factors = burst_factors
+        self.connection_cap = connection_cap
+        self.queue_limit = queue_limit
         self.duration_s = duration_s
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -309,6 +378,25 @@
     "weak_cores": 0.516,
 }
 
+# 36 shards with 3 servers of 4 slots each, and 70 entry hosts. Two kinds of request of different
+# priority share all servers.
+UNEVEN_DEPLOYMENT = {
+    "kinds": (CATALOGUE_SWEEP, PRESS_LOOKUP),
+    "zones": (23, 23, 24),
+    "shards": 36,
+    "slots": 4,
+    "connection_cap": 67,
+    "queue_limit": 24,
+    "send_cpu_s": 0.0008,
+    "reply_cpu_s": 0.0005,
+    "retry_allowance": 180.0,
+    "strong_hosts": 2,
+    "weak_cores": 0.516,
+    "duration_s": 16.0,
+}
+# Begin and end of the bursts of ``UNEVEN_DEPLOYMENT``, seconds.
+BURST_SPAN = (6.0, 11.0)
+
 PATTERNS = {
     "calm": Pattern(title="servers that pause for 200 ms every 4.5 s"),
     "slow-servers": Pattern(
@@ -363,4 +451,46 @@
         faults=slow_servers(shards=range(0, 36, 2), slowdown=10.0, begin_s=6.0, end_s=14.0),
         **WIDE_DEPLOYMENT,
     ),
+    "priorities": Pattern(
+        title="36 shards, 70 hosts and two kinds of different priority", **UNEVEN_DEPLOYMENT
+    ),
+    "burst-least-urgent": Pattern(
+        title="2.5 times the least urgent kind for 5 s",
+        burst=(*BURST_SPAN, 1.0),
+        burst_factors={"sweep": 2.5},
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "burst-most-urgent": Pattern(
+        title="1.9 times the most urgent kind for 5 s",
+        burst=(*BURST_SPAN, 1.0),
+        burst_factors={"lookup": 1.9},
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "burst-both": Pattern(
+        title="2.5 times the least urgent and 1.9 times the most urgent kind for 5 s",
+        burst=(*BURST_SPAN, 1.0),
+        burst_factors={"sweep": 2.5, "lookup": 1.9},
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "scarce-slow": Pattern(
+        title="4 times the least urgent kind, a third of the servers 6 times slower for 5 s",
+        burst=(*BURST_SPAN, 1.0),
+        burst_factors={"sweep": 4.0},
+        faults=scattered_slow_servers(
+            server_share=0.33, slowdown=6.0, begin_s=BURST_SPAN[0], end_s=BURST_SPAN[1]
+        ),
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "scarce-dark": Pattern(
+        title="4 times the least urgent kind, a third of the servers down for 5 s",
+        burst=(*BURST_SPAN, 1.0),
+        burst_factors={"sweep": 4.0},
+        faults=scattered_slow_servers(
+            server_share=0.33,
+            slowdown=float("inf"),
+            begin_s=BURST_SPAN[0],
+            end_s=BURST_SPAN[1],
+        ),
+        **UNEVEN_DEPLOYMENT,
+    ),
 }
--- a/src/rhubarbway_emulator/servers.py
+++ b/src/rhubarbway_emulator/servers.py
@@ -122,6 +122,7 @@
         "pauses",
         "phases",
         "queue",
+        "queue_limit",
         "random",
         "running",
         "server",
@@ -135,8 +136,10 @@
         pauses: PeriodicPauses,
         phases: Sequence[FaultPhase] = (),
         random: Random,
+        queue_limit: int = QUEUE_LIMIT,
     ) -> None:
         self.random = random
+        self.queue_limit = queue_limit
         self.server = server
         self.clock = clock
         self.pauses = pauses
@@ -176,7 +179,7 @@
             return False
         if self.running < self.server.slots:
             self.start(job)
-        elif len(self.queue) >= QUEUE_LIMIT:
+        elif len(self.queue) >= self.queue_limit:
             return False
         else:
             self.queue.append(job)
