Leave slots of slow servers to urgent requests, and count that limit as a wait

Change: on a server that more urgent requests use as well, less urgent exchanges get the part of the slots that corresponds to its pace, at least one (ServerLoad.max_rank). What waits for that is visible to the decision at arrival.

--- a/src/rhubarbway/decisions/attempt_queue.py
+++ b/src/rhubarbway/decisions/attempt_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import Generic, Protocol, TypeVar
 
@@ -22,6 +23,7 @@
     ``exchange_s`` is the time that an exchange of its route typically takes, seconds.
     """
 
+    number: int
     priority: int
     is_extra: bool
     exchange_s: float
@@ -69,9 +71,9 @@
         self.by_rank.setdefault(rank, deque()).append((self.sequence, attempt))
         self.work_s[rank] = self.work_s.get(rank, 0.0) + attempt.exchange_s
 
-    def pop(self) -> Attempt | None:
-        """Remove and return the attempt to send next, or None if none waits."""
-        waiting = [rank for rank, attempts in self.by_rank.items() if attempts]
+    def pop(self, *, max_rank: float = math.inf) -> Attempt | None:
+        """Remove and return the attempt to send next, or None if none of these ranks waits."""
+        waiting = [rank for rank, attempts in self.by_rank.items() if attempts and rank <= max_rank]
         if not waiting:
             return None
         self.taken += 1
--- a/src/rhubarbway/decisions/server_load.py
+++ b/src/rhubarbway/decisions/server_load.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Generic
 
 from rhubarbway.decisions.attempt_queue import Attempt, AttemptQueue, rank_of
@@ -21,15 +22,19 @@
 # paused. The pause is expected to last for OVERDUE_WEIGHT times as long as it already has.
 OVERDUE_FACTOR = 2.0
 OVERDUE_WEIGHT = 2.0
+# A server to which attempts of a lower rank were submitted within this time is shared with more
+# urgent requests, seconds.
+SHARED_S = 5.0
 
 
 class RunningExchange:
-    """Typical time of a running exchange, and the instant at which it began."""
+    """Typical time and rank of a running exchange, and the instant at which it began."""
 
-    __slots__ = ("exchange_s", "started_at")
+    __slots__ = ("exchange_s", "rank", "started_at")
 
-    def __init__(self, *, exchange_s: float, started_at: float) -> None:
+    def __init__(self, *, exchange_s: float, rank: int, started_at: float) -> None:
         self.exchange_s = exchange_s
+        self.rank = rank
         self.started_at = started_at
 
 
@@ -40,6 +45,8 @@
 
     Attributes
     ----------
+    slots : int
+        Requests that the server runs at a time.
     queued : AttemptQueue
         Attempts that wait for a connection.
     running : dict of int to RunningExchange
@@ -49,17 +56,65 @@
         is slower than typical.
     """
 
-    __slots__ = ("measured_at", "pace", "queued", "running")
+    __slots__ = ("measured_at", "pace", "queued", "running", "slots", "submitted_at")
 
-    def __init__(self) -> None:
+    def __init__(self, *, slots: int = 1) -> None:
+        # A server of unknown size may have a slot.
+        self.slots = max(1, slots)
         self.queued: AttemptQueue[Attempt] = AttemptQueue()
         self.running: dict[int, RunningExchange] = {}
+        # Instant of the last submitted attempt of each rank.
+        self.submitted_at: dict[int, float] = {}
         self.pace = 1.0
         self.measured_at = float("-inf")
 
-    def record_start(self, attempt_number: int, exchange_s: float, now: float) -> None:
-        """Record that an attempt got a connection; ``exchange_s`` is its typical exchange time."""
-        self.running[attempt_number] = RunningExchange(exchange_s=exchange_s, started_at=now)
+    def submit(self, attempt: Attempt, *, max_connections: float, now: float) -> bool:
+        """Start an attempt and return True, or queue it and return False."""
+        rank = rank_of(attempt.priority, is_extra=attempt.is_extra)
+        self.submitted_at[rank] = now
+        if rank > self.max_rank(max_connections, now):
+            self.queued.push(attempt)
+            return False
+        self.start(attempt, now)
+        return True
+
+    def start(self, attempt: Attempt, now: float) -> None:
+        """Record that an attempt gets a connection."""
+        self.running[attempt.number] = RunningExchange(
+            exchange_s=attempt.exchange_s,
+            rank=rank_of(attempt.priority, is_extra=attempt.is_extra),
+            started_at=now,
+        )
+
+    def take(self, *, max_connections: float, now: float) -> Attempt | None:
+        """Return the queued attempt to send next, and start it; None if none may be sent now."""
+        attempt = self.queued.pop(max_rank=self.max_rank(max_connections, now))
+        if attempt is not None:
+            self.start(attempt, now)
+        return attempt
+
+    def max_rank(self, max_connections: float, now: float) -> float:
+        """Return the highest rank that may be sent to the server now; -inf if none.
+
+        On a server that more urgent requests use as well, less urgent ones get the part of the
+        slots that corresponds to its pace, at least one. Their exchanges would otherwise fill
+        the slots and the queue of a slow or crowded server, where priorities do not count.
+        """
+        running = list(self.running.values())
+        if len(running) >= max_connections:
+            return -math.inf
+        most_urgent = self.most_urgent_rank(now)
+        others = sum(exchange.rank > most_urgent for exchange in running)
+        return math.inf if others + 1 <= self.shared_limit(max_connections, now) else most_urgent
+
+    def most_urgent_rank(self, now: float) -> int:
+        """Return the lowest rank that was submitted recently."""
+        recent = [rank for rank, at in list(self.submitted_at.items()) if now - at < SHARED_S]
+        return min(recent, default=0)
+
+    def shared_limit(self, max_connections: float, now: float) -> float:
+        """Return how many exchanges of the less urgent ranks may run at a time."""
+        return max(1.0, min(max_connections, self.slots) / max(1.0, self.current_pace(now)))
 
     def record_end(
         self, attempt_number: int, *, took_s: float, was_answered: bool, now: float
@@ -113,15 +168,18 @@
         )
         return typical_exchange_s * pace + OVERDUE_WEIGHT * max(0.0, overdue_s)
 
-    def is_full(self, max_connections: float) -> bool:
-        """Whether a new attempt would have to wait for a connection."""
-        return len(self.running) >= max_connections
+    def must_wait(self, *, priority: int, max_connections: float, now: float) -> bool:
+        """Whether a new first attempt would have to wait for a connection."""
+        return rank_of(priority, is_extra=False) > self.max_rank(max_connections, now)
 
-    def wait_s(self, *, priority: int, max_connections: float, pace: float) -> float:
+    def wait_s(self, *, priority: int, max_connections: float, pace: float, now: float) -> float:
         """Return the expected wait of a first attempt for a connection to the server, seconds."""
-        if not self.is_full(max_connections):
+        if not self.must_wait(priority=priority, max_connections=max_connections, now=now):
             return 0.0
         running = list(self.running.values())
         work_s = REMAINING_FRACTION * sum(exchange.exchange_s for exchange in running)
-        work_s += self.queued.work_ahead_s(rank_of(priority, is_extra=False))
-        return work_s * pace / max_connections
+        rank = rank_of(priority, is_extra=False)
+        work_s += self.queued.work_ahead_s(rank)
+        is_shared = rank > self.most_urgent_rank(now)
+        lanes = self.shared_limit(max_connections, now) if is_shared else max_connections
+        return work_s * pace / lanes
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -108,7 +108,7 @@
     def __init__(self, *, server: BackendServer, now: float) -> None:
         self.server = server
         self.in_flight: dict[int, float] = {}
-        self.load: ServerLoad = ServerLoad()
+        self.load: ServerLoad = ServerLoad(slots=server.slots)
         self.slowness = 1.0
         self.observed_at = now
         self.is_first_hand = False
--- a/src/rhubarbway/decisions/tests/test_urgency.py
+++ b/src/rhubarbway/decisions/tests/test_urgency.py
@@ -15,11 +15,12 @@
 class Waiting:
     """A waiting attempt."""
 
-    def __init__(self, name, priority, *, is_extra=False):
+    def __init__(self, name, priority, *, is_extra=False, exchange_s=0.03, number=0):
         self.name = name
+        self.number = number
         self.priority = priority
         self.is_extra = is_extra
-        self.exchange_s = 0.03
+        self.exchange_s = exchange_s
 
 
 def queue_of(*attempts):
@@ -55,10 +56,10 @@
     def test_less_urgent_attempts_do_not_delay_an_urgent_one(self):
         """Guards against urgent requests refused because of a queue that they overtake."""
         load = ServerLoad()
-        load.record_start(1, 0.03, 0.0)
+        load.start(Waiting("sweep", 1), 0.0)
         for _ in range(10):
             load.queued.push(Waiting("sweep", 1))
-        waits = [load.wait_s(priority=one, max_connections=1, pace=1.0) for one in (0, 1)]
+        waits = [load.wait_s(priority=one, max_connections=1, pace=1.0, now=0.0) for one in (0, 1)]
         assert waits == pytest.approx([0.015, 0.315])
 
     def test_the_pace_follows_exchanges_and_not_waits(self):
@@ -66,8 +67,8 @@
         load = ServerLoad()
         for number in range(20):
             begin = number * 0.2
-            load.record_start(number, 0.03, begin)
-            load.record_end(number, took_s=0.18, was_answered=True, now=begin + 0.18)
+            load.start(Waiting("sweep", 1), begin)
+            load.record_end(0, took_s=0.18, was_answered=True, now=begin + 0.18)
         assert 5.0 < load.current_pace(4.0) <= 6.0
         assert load.expected_pace(slowness=12.0, now=4.0) <= 6.0
         assert load.expected_pace(slowness=12.0, now=40.0) == 12.0
@@ -75,10 +76,30 @@
     def test_a_paused_server_is_noticed_before_it_replies(self):
         """Guards against urgent requests sent to a server that pauses for 200 ms."""
         load = ServerLoad()
-        load.record_start(1, 0.01, 0.0)
+        load.start(Waiting("lookup", 0, exchange_s=0.01), 0.0)
         assert load.exchange_s(0.01, pace=1.0, now=0.01) == pytest.approx(0.01)
         assert load.exchange_s(0.01, pace=1.0, now=0.1) > 0.1
 
+    def test_a_slow_server_keeps_connections_for_urgent_requests(self):
+        """Guards against sweeps that fill the slots of a slow server, so that lookups queue there.
+
+        A server that only one kind uses is not restricted.
+        """
+        load = ServerLoad(slots=8)
+        load.pace, load.measured_at = 4.0, 0.0
+
+        def start(priority, number):
+            attempt = Waiting("", priority, number=number)
+            return load.submit(attempt, max_connections=8, now=0.0)
+
+        assert all(start(1, number) for number in range(6))
+        assert start(0, 6)
+        assert not start(1, 7)
+        assert start(0, 8)
+        for number in range(5):
+            load.record_end(number, took_s=0.0, was_answered=False, now=0.0)
+        assert load.take(max_connections=8, now=0.0) is not None
+
 
 class TestAdmissionShares:
     def test_a_kind_that_is_always_refused_gets_a_quarter_of_the_average(self):
--- a/src/rhubarbway/services/first_attempts.py
+++ b/src/rhubarbway/services/first_attempts.py
@@ -28,11 +28,17 @@
     if pool.server.zone != context.zone:
         exchange_s += CROSS_ZONE_ROUND_TRIP_S
     wait_s = state.load.wait_s(
-        priority=route.priority, max_connections=state.max_connections, pace=pace
+        priority=route.priority, max_connections=state.max_connections, pace=pace, now=now
     )
     return ShardOutlook(wait_s=wait_s, exchange_s=exchange_s)
 
 
+def must_wait(route: Route, pool: ServerPool, now: float) -> bool:
+    """Whether a first attempt at a server would have to wait for a connection."""
+    limit = pool.state.max_connections
+    return pool.state.load.must_wait(priority=route.priority, max_connections=limit, now=now)
+
+
 def choose_servers(
     context: ForwardingContext, route: Route, services: Iterable[str], *, typical_s: float
 ) -> dict[str, ServerPool | None]:
@@ -47,7 +53,7 @@
     for service in services:
         ranked = ranked_pools(context, service, typical_s=typical_s, now=now)
         usable = [pool for pool in ranked if not pool.state.is_ejected(now)]
-        if any(pool.state.load.is_full(pool.state.max_connections) for pool in usable):
+        if any(must_wait(route, pool, now) for pool in usable):
             chosen[service] = min(
                 usable, key=lambda pool: outlook_of(context, route, pool, now).total_s
             )
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -178,21 +178,25 @@
         """
         with self.lock:
             self.state.record_sent(attempt.number, attempt.submitted_at)
-            if self.idle:
-                connection = self.idle.pop()
-                self.state.needs_connection = not self.idle
-                self.tasks.mark_busy(connection)
-                self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
-                connection.inbox.put(attempt)
-                return
-            if self.connection_count >= self.state.max_connections:
+            # Connections that are being opened ahead count, too.
+            is_full = not self.idle and self.connection_count >= self.state.max_connections
+            limit = 0.0 if is_full else self.state.max_connections
+            if not self.state.load.submit(attempt, max_connections=limit, now=time.monotonic()):
                 attempt.waiting_since = attempt.submitted_at
-                self.state.load.queued.push(attempt)
                 return
-            self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
+            if self.idle:
+                self.use_idle_connection(attempt)
+                return
             self.connection_count += 1
         self.tasks.start(self, attempt)
 
+    def use_idle_connection(self, attempt: ServerAttempt) -> None:
+        """Pass an attempt to the connection that was used last; the caller holds the lock."""
+        connection = self.idle.pop()
+        self.state.needs_connection = not self.idle
+        self.tasks.mark_busy(connection)
+        connection.inbox.put(attempt)
+
     def merge_report(self, report: SlownessReport) -> bool:
         """Merge another host's report about the server, and return whether it was applied."""
         with self.lock:
@@ -310,9 +314,11 @@
         The task of the connection ends instead if the pool is closed, or if another connection
         needs the task. The caller holds the lock.
         """
-        attempt = self.state.load.queued.pop()
+        attempt = self.take_queued()
         if attempt is not None:
-            self.state.load.record_start(attempt.number, attempt.exchange_s, time.monotonic())
+            # The end of an exchange may allow several less urgent ones.
+            while self.idle and (further := self.take_queued()) is not None:
+                self.use_idle_connection(further)
             return attempt
         if self.closed or not self.tasks.try_keep_idle(connection, self):
             connection.inbox.put(None)
@@ -321,6 +327,11 @@
             self.state.needs_connection = False
         return None
 
+    def take_queued(self) -> ServerAttempt | None:
+        """Return the queued attempt to send next, or None; the caller holds the lock."""
+        limit = self.state.max_connections
+        return self.state.load.take(max_connections=limit, now=time.monotonic())
+
     def connect(self, connection: ServerConnection) -> None:
         """Open a connection; if that fails, its first attempt tries again."""
         try:
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -97,7 +97,6 @@
 
     __slots__ = (
         "asked_at",
-        "busy_connections",
         "emulated_server",
         "host",
         "idle_connections",
@@ -107,7 +106,6 @@
 
     def __init__(self, *, host: EmulatedHost, emulated_server: EmulatedServer) -> None:
         self.idle_connections = 0
-        self.busy_connections = 0
         # When the server last asked for no requests, or announced that it leaves.
         self.asked_at = float("-inf")
         self.host = host
@@ -120,16 +118,14 @@
     def submit(self, attempt: ServerAttempt) -> None:
         """Send an attempt to the server, or queue it until a connection is free."""
         self.state.record_sent(attempt.number, attempt.submitted_at)
-        if self.busy_connections >= self.state.max_connections:
+        limit = self.state.max_connections
+        if self.state.load.submit(attempt, max_connections=limit, now=self.host.clock.now):
+            self.start(attempt)
+        else:
             attempt.waiting_since = attempt.submitted_at
-            self.state.load.queued.push(attempt)
-            return
-        self.start(attempt)
 
     def start(self, attempt: ServerAttempt) -> None:
         """Send an attempt on an idle or a new connection."""
-        self.busy_connections += 1
-        self.state.load.record_start(attempt.number, attempt.exchange_s, self.host.clock.now)
         needs_connection = self.idle_connections == 0
         self.idle_connections = max(0, self.idle_connections - 1)
         self.state.needs_connection = self.idle_connections == 0
@@ -137,13 +133,10 @@
         EmulatedExchange(pool=self, attempt=attempt).send(needs_connection=needs_connection)
 
     def finish_exchange(self) -> None:
-        """Free the connection of an exchange, and send what waits for one."""
-        self.busy_connections -= 1
-        while self.busy_connections < self.state.max_connections:
-            attempt = self.state.load.queued.pop()
-            if attempt is None:
-                return
-            now = self.host.clock.now
+        """Send what waits for the connection of an exchange that has ended."""
+        now = self.host.clock.now
+        limit = self.state.max_connections
+        while (attempt := self.state.load.take(max_connections=limit, now=now)) is not None:
             if attempt.cancelled or now >= attempt.deadline:
                 self.end_unsent(attempt)
             else:
@@ -152,6 +145,7 @@
     def end_unsent(self, attempt: ServerAttempt) -> None:
         """Deliver the outcome of an attempt that was cancelled while it waited."""
         now = self.host.clock.now
+        self.state.load.record_end(attempt.number, took_s=0.0, was_answered=False, now=now)
         outcome = ExchangeOutcome(
             attempt=attempt.number,
             shard=attempt.shard,
