--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Collection, Iterable
 
+from rhubarbway.decisions.server_load import ServerLoad
 from rhubarbway.decisions.warm_up import ColdRequestLimit, no_limit
 from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
 
@@ -85,6 +86,8 @@
         Whether the server has announced that it leaves.
     evacuated : bool
         Whether the zone of the server is evacuated.
+    load : ServerLoad
+        Attempts that run on connections or wait for one, and the pace of the server.
     needs_connection : bool
         Whether a request would have to open a connection first.
     quiet_until : float
@@ -102,6 +105,7 @@
         "is_first_hand",
         "is_reserve",
         "leaving",
+        "load",
         "max_connections",
         "in_flight",
         "needs_connection",
@@ -114,6 +118,7 @@
     def __init__(self, *, server: BackendServer, now: float) -> None:
         self.server = server
         self.in_flight: dict[int, float] = {}
+        self.load: ServerLoad = ServerLoad(slots=server.slots)
         self.slowness = 1.0
         self.observed_at = now
         self.is_first_hand = False
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -5,7 +5,6 @@
 import queue
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -155,7 +154,6 @@
         "lock",
         "log",
         "observe",
-        "queued",
         "report_cold_attempt",
         "report_reset",
         "server",
@@ -199,7 +197,6 @@
         self.idle: list[ServerConnection] = []
         # Number of connection tasks; each owns one connection.
         self.connection_count = 0
-        self.queued: deque[ServerAttempt] = deque()
         self.closed = False
 
     def submit(self, attempt: ServerAttempt) -> None:
@@ -209,19 +206,25 @@
         """
         with self.lock:
             self.state.record_sent(attempt.number, attempt.submitted_at)
-            if self.idle:
-                connection = self.idle.pop()
-                self.state.needs_connection = not self.idle
-                self.tasks.mark_busy(connection)
-                connection.inbox.put(attempt)
-                return
-            if self.connection_count >= self.state.max_connections:
+            # Connections that are being opened ahead count, too.
+            is_full = not self.idle and self.connection_count >= self.state.max_connections
+            limit = 0.0 if is_full else self.state.max_connections
+            if not self.state.load.submit(attempt, max_connections=limit, now=time.monotonic()):
                 attempt.waiting_since = attempt.submitted_at
-                self.queued.append(attempt)
+                return
+            if self.idle:
+                self.use_idle_connection(attempt)
                 return
             self.connection_count += 1
         self.tasks.start(self, attempt)
 
+    def use_idle_connection(self, attempt: ServerAttempt) -> None:
+        """Pass an attempt to the connection that was used last; the caller holds the lock."""
+        connection = self.idle.pop()
+        self.state.needs_connection = not self.idle
+        self.tasks.mark_busy(connection)
+        connection.inbox.put(attempt)
+
     def merge_report(self, report: SlownessReport) -> bool:
         """Merge another host's report about the server, and return whether it was applied."""
         with self.lock:
@@ -266,7 +269,7 @@
         An attempt that a connection task has taken, but not sent, ends in ``run_attempt``.
         """
         with self.lock:
-            queued, self.queued = self.queued, deque()
+            queued = self.state.load.queued.drain()
             outcomes = [(attempt, self.withdrawn_outcome(attempt)) for attempt in queued]
             for _, outcome in outcomes:
                 self.state.record_outcome(outcome, typical_s=0.0, now=time.monotonic())
@@ -339,9 +342,7 @@
         while attempt is not None:
             outcome = self.run_attempt_safely(connection, attempt)
             with self.lock:
-                self.state.record_outcome(
-                    outcome, typical_s=attempt.typical_s, now=time.monotonic()
-                )
+                self.record_end(attempt, outcome)
                 next_attempt = self.take_queued_or_become_idle(connection)
             self.observe(attempt, outcome)
             attempt.deliver(outcome)
@@ -350,14 +351,29 @@
             self.connection_count -= 1
         connection.http.disconnect()
 
+    def record_end(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
+        """Record the end of an attempt that had a connection; the caller holds the lock."""
+        now = time.monotonic()
+        self.state.record_outcome(outcome, typical_s=attempt.typical_s, now=now)
+        self.state.load.record_end(
+            attempt.number,
+            took_s=0.0 if attempt.sent_at is None else now - attempt.sent_at,
+            was_answered=outcome.end is ExchangeEnd.ANSWERED,
+            now=now,
+        )
+
     def take_queued_or_become_idle(self, connection: ServerConnection) -> ServerAttempt | None:
-        """Return the attempt that was queued first, or mark the connection idle and return None.
+        """Return the queued attempt to send next, or mark the connection idle and return None.
 
         The task of the connection ends instead if the pool is closed, or if another connection
         needs the task. The caller holds the lock.
         """
-        if self.queued:
-            return self.queued.popleft()
+        attempt = self.take_queued()
+        if attempt is not None:
+            # The end of an exchange may allow several less urgent ones.
+            while self.idle and (further := self.take_queued()) is not None:
+                self.use_idle_connection(further)
+            return attempt
         if self.closed or not self.tasks.try_keep_idle(connection, self):
             connection.inbox.put(None)
         else:
@@ -365,6 +381,11 @@
             self.state.needs_connection = False
         return None
 
+    def take_queued(self) -> ServerAttempt | None:
+        """Return the queued attempt to send next, or None; the caller holds the lock."""
+        limit = self.state.max_connections
+        return self.state.load.take(max_connections=limit, now=time.monotonic())
+
     def connect(self, connection: ServerConnection) -> None:
         """Open a connection; if that fails, its first attempt tries again."""
         try:
@@ -419,6 +440,7 @@
         try:
             if attempt.cancelled:
                 return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
+            attempt.sent_at = time.monotonic()
             reply = http.exchange(
                 request.method,
                 request.target,
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -55,12 +55,15 @@
         CPU time for each attempt sent and each reply read, seconds.
     cross_zone_delay_s : float
         One-way delay to another zone, seconds.
+    connection_limit : float
+        Connections of one host to one server at a time.
     retry_ratio, retry_allowance : float
         Limits of the extra attempts to a service in each window of the retry budget: a share of
         the requests, plus a number over all hosts.
     """
 
     __slots__ = (
+        "connection_limit",
         "cross_zone_delay_s",
         "host_count",
         "reply_cpu_s",
@@ -78,7 +81,9 @@
         cross_zone_delay_s: float = 0.0044,
         retry_ratio: float = 0.2,
         retry_allowance: float = 58.0,
+        connection_limit: float = float("inf"),
     ) -> None:
+        self.connection_limit = connection_limit
         self.host_count = host_count
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -111,10 +116,19 @@
         self.state.needs_connection = True
         # The process of the server that this host knows.
         self.process_number = 0
+        self.state.max_connections = host.config.connection_limit
 
     def submit(self, attempt: ServerAttempt) -> None:
-        """Send an attempt to the server."""
+        """Send an attempt to the server, or queue it until a connection is free."""
         self.state.record_sent(attempt.number, attempt.submitted_at)
+        limit = self.state.max_connections
+        if self.state.load.submit(attempt, max_connections=limit, now=self.host.clock.now):
+            self.start(attempt)
+        else:
+            attempt.waiting_since = attempt.submitted_at
+
+    def start(self, attempt: ServerAttempt) -> None:
+        """Send an attempt on an idle or a new connection."""
         needs_connection = self.idle_connections == 0
         self.idle_connections = max(0, self.idle_connections - 1)
         self.state.needs_connection = self.idle_connections == 0
@@ -127,9 +141,11 @@
         if self.process_number != self.emulated_server.process_number():
             self.process_number = self.emulated_server.process_number()
             self.idle_connections = 0
-            cold_limit = self.state.cold_limit
-            self.state = ServerState(server=self.server, now=now)
-            self.state.cold_limit = cold_limit
+            before, self.state = self.state, ServerState(server=self.server, now=now)
+            self.state.cold_limit = before.cold_limit
+            # The attempts that wait for a connection go to the new process.
+            self.state.load = before.load
+            self.state.max_connections = before.max_connections
             self.state.needs_connection = True
         self.state.warm_at = now + warm_up_s
 
@@ -143,6 +159,31 @@
         self.state.cold_limit.record_sent(now)
         return True
 
+    def finish_exchange(self) -> None:
+        """Send what waits for the connection of an exchange that has ended."""
+        now = self.host.clock.now
+        limit = self.state.max_connections
+        while (attempt := self.state.load.take(max_connections=limit, now=now)) is not None:
+            if attempt.cancelled or now >= attempt.deadline:
+                self.end_unsent(attempt)
+            else:
+                self.start(attempt)
+
+    def end_unsent(self, attempt: ServerAttempt) -> None:
+        """Deliver the outcome of an attempt that was cancelled while it waited."""
+        now = self.host.clock.now
+        self.state.load.record_end(attempt.number, took_s=0.0, was_answered=False, now=now)
+        outcome = ExchangeOutcome(
+            attempt=attempt.number,
+            shard=attempt.shard,
+            server=self.server.id,
+            end=ExchangeEnd.CANCELLED,
+            ran=ExecutionStatus.NOT_RUN,
+            latency_s=now - attempt.latency_start,
+        )
+        self.state.record_outcome(outcome, typical_s=attempt.typical_s, now=now)
+        attempt.deliver(outcome)
+
     def apply_notice(self, quiet_s: float) -> None:
         """Apply what the server states in a reply that this host has just read."""
         now = self.host.clock.now
@@ -205,7 +246,9 @@
 
         It is withdrawn instead if the server is cold and gets no further request now.
         """
-        self.attempt.waiting_since = self.pool.host.clock.now
+        self.attempt.sent_at = self.pool.host.clock.now
+        if self.attempt.waiting_since is None:
+            self.attempt.waiting_since = self.attempt.sent_at
         if not self.ended and not self.pool.try_acquire():
             self.finish(ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN)
 
@@ -270,6 +313,14 @@
             reply=REPLY if end is ExchangeEnd.ANSWERED else None,
         )
         self.pool.state.record_outcome(outcome, typical_s=self.attempt.typical_s, now=now)
+        sent_at = self.attempt.sent_at
+        self.pool.state.load.record_end(
+            self.attempt.number,
+            took_s=0.0 if sent_at is None else now - sent_at,
+            was_answered=end is ExchangeEnd.ANSWERED,
+            now=now,
+        )
+        self.pool.finish_exchange()
         host.latencies.record(self.attempt, outcome)
         self.attempt.deliver(outcome)
 
@@ -375,6 +426,7 @@
             next_attempt_number=itertools.count(1).__next__,
             hedge_delay_s=self.latencies.hedge_delay_s,
             typical_s=lambda route: self.latencies.for_route(route).typical_s,
+            exchange_s=lambda route: self.latencies.for_route(route).exchange_s,
             processing_s=lambda route: self.answer_margin.margin_s(
                 target_latency_s=route.target_latency_s
             ),
--- a/src/rhubarbway_emulator/tests/test_patterns.py
+++ b/src/rhubarbway_emulator/tests/test_patterns.py
@@ -90,7 +90,7 @@
         for kind in pattern.kinds:
             outcome = result.by_kind[kind.name]
             assert outcome.refused > 0
-            assert max(outcome.refusal_latencies) <= kind.target_latency_s / 4
+            assert max(outcome.refusal_delays) <= kind.target_latency_s / 4
 
 
 class TestLargeFleet:
