Rank replicas in one module, and emulate uneven servers

First attempts, hedges, retries and delegates rank servers in decisions/replica_ranking, in one pass without sorting. The emulator gets patterns of 70 and 106 hosts on uneven servers, the load of the servers, and other rankings to compare with.

--- a/src/rhubarbway/decisions/__init__.py
+++ b/src/rhubarbway/decisions/__init__.py
@@ -10,7 +10,7 @@
   ``retry_budget``, ``slices``, ``snapshots``, ``tokens``.
 - Gateways read the platform's store and forward HTTP requests to servers; each shard of a route is
   a service of its own: ``answer_margin``, ``attempt_timing``, ``crash_blocks``, ``crash_guard``,
-  ``fleet_view``, ``forward_answers``, ``preconnect``, ``records``, ``route_choice``,
-  ``sent_attempts``, ``server_state``, ``shard_shedding``, ``sliding_window_budget``,
-  ``slowness_reports``, ``store_copy``.
+  ``fleet_view``, ``forward_answers``, ``preconnect``, ``records``, ``replica_ranking``,
+  ``route_choice``, ``sent_attempts``, ``server_state``, ``shard_shedding``,
+  ``sliding_window_budget``, ``slowness_reports``, ``store_copy``.
 """
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -1,4 +1,4 @@
-"""State that an entry host keeps for each backend server, and the ranking of servers by latency.
+"""State that an entry host keeps for each backend server; ``replica_ranking`` ranks servers by it.
 
 Typical latencies differ between routes. The *slowness* of a server is therefore the ratio of its
 latency to the typical latency of the same route over all servers.
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable
 
 from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
 
@@ -29,14 +28,9 @@
 # An attempt in flight for longer than this multiple of the typical latency suggests that its server
 # is paused. Attempts that this host has queued for a connection count, too.
 OVERDUE_FACTOR = 2.0
-# Weight, in the expected latency, of the time by which the oldest attempt in flight is overdue.
-OVERDUE_WEIGHT = 3.0
 # A refused request counts as a reply of this slowness, since it needs another attempt. So a server
 # that refuses part of its requests gets fewer of them, even if its other replies are fast.
 REFUSED_SLOWNESS = 8.0
-# Additional latency of a cold server (one that has just started, see ``warm_at``), as a fraction of
-# the typical latency.
-COLD_PENALTY_FRACTION = 0.6
 
 # Ends of an attempt that count as failures of the server. A misdirected request is one of them: a
 # different server listens at the address.
@@ -183,81 +177,3 @@
             return 0.0
         oldest = min(self.in_flight.values())
         return max(0.0, now - oldest - OVERDUE_FACTOR * typical_s)
-
-    def expected_latency_s(
-        self,
-        *,
-        typical_s: float,
-        cross_zone_cost_s: float,
-        connect_cost_s: float = 0.0,
-        now: float,
-    ) -> float:
-        """Return the expected latency of a request that is sent now, seconds.
-
-        Parameters
-        ----------
-        typical_s : float
-            Typical latency of the route over all servers, seconds.
-        cross_zone_cost_s : float
-            Added for a server in another zone, seconds: the round trip and, in a ranking, an
-            equivalent of the price of the traffic. 0 for a server in this host's zone.
-        connect_cost_s : float
-            Added for a server to which this host has no idle connection, seconds: the time to open
-            one and, in a ranking, an equivalent of its price.
-        """
-        slots = max(1, self.server.slots)
-        # Attempts that would wait for a free connection, this one included, divided by the limit
-        # of connections; 0 without a limit.
-        queueing = max(0.0, len(self.in_flight) + 1 - self.max_connections) / self.max_connections
-        load = 1.0 + len(self.in_flight) / slots + queueing
-        processing_s = typical_s * self.current_slowness(now) * load
-        cold_penalty_s = COLD_PENALTY_FRACTION * typical_s if now < self.warm_at else 0.0
-        return (
-            processing_s
-            + (connect_cost_s if self.needs_connection else 0.0)
-            + cold_penalty_s
-            + cross_zone_cost_s
-            + OVERDUE_WEIGHT * self.overdue_s(typical_s, now)
-        )
-
-
-def ranked_states(
-    states: Iterable[ServerState],
-    *,
-    zone: str,
-    typical_s: float,
-    cross_zone_cost_s: float,
-    connect_cost_s: float = 0.0,
-    excluded: Collection[str] = (),
-    now: float,
-    jitter: dict[str, float] | None = None,
-) -> list[ServerState]:
-    """Return the states by rising expected latency; ejected servers come last.
-
-    Parameters
-    ----------
-    zone : str
-        Zone of this host.
-    cross_zone_cost_s : float
-        Added to the expected latency of a server in another zone, seconds.
-    connect_cost_s : float
-        Added to the expected latency of a server without an idle connection, seconds.
-    excluded : collection of str
-        Ids of servers to leave out.
-    jitter : dict of str to float
-        Random factor of the expected latency (around 1) by server id. With it, hosts that have the
-        same data choose different servers.
-    """
-    factors = jitter or {}
-
-    def sort_key(state: ServerState) -> tuple[bool, float]:
-        zone_cost_s = 0.0 if state.server.zone == zone else cross_zone_cost_s
-        expected = state.expected_latency_s(
-            typical_s=typical_s,
-            cross_zone_cost_s=zone_cost_s,
-            connect_cost_s=connect_cost_s,
-            now=now,
-        )
-        return state.is_ejected(now), expected * factors.get(state.server.id, 1.0)
-
-    return sorted((state for state in states if state.server.id not in excluded), key=sort_key)
--- a/src/rhubarbway/decisions/tests/test_server_state.py
+++ b/src/rhubarbway/decisions/tests/test_server_state.py
@@ -1,6 +1,9 @@
 """Tests of the state of a server and of the ranking of servers."""
 
-from rhubarbway.decisions.server_state import INITIAL_EJECTION_S, ServerState, ranked_states
+from types import SimpleNamespace
+
+from rhubarbway.decisions.replica_ranking import RankingView, best_replica
+from rhubarbway.decisions.server_state import INITIAL_EJECTION_S, ServerState
 from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome, ExecutionStatus
 
 TYPICAL_S = 0.02
@@ -21,10 +24,9 @@
 
 
 def best_server(*states, now=1.0, excluded=()):
-    ranked = ranked_states(
-        states, zone="a", typical_s=TYPICAL_S, cross_zone_cost_s=0.01, excluded=excluded, now=now
-    )
-    return ranked[0].server.id
+    view = RankingView(zone="a", typical_s=TYPICAL_S, cross_zone_cost_s=0.01, now=now)
+    pools = [SimpleNamespace(state=state) for state in states]
+    return best_replica(pools, view, excluded=excluded).state.server.id
 
 
 class TestRanking:
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -24,7 +24,7 @@
     choose_delegates,
 )
 from rhubarbway.decisions.forward_answers import failed_answer
-from rhubarbway.decisions.server_state import ranked_states
+from rhubarbway.decisions.replica_ranking import RankingView, best_replica
 from rhubarbway.edge.http_server import HEAD_KEY, SOCKET_KEY
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import (
@@ -313,17 +313,15 @@
     def best_delegate(self, route: Route) -> ServerPool | None:
         """Return the delegate with the lowest expected latency, or None to run the fan-out here."""
         now = time.monotonic()
-        pools = {pool.server.id: pool for pool in self.delegates_of(route)}
-        ranked = ranked_states(
-            [pool.state for pool in pools.values()],
+        view = RankingView(
             zone=self.fleet.view.own.zone,
             typical_s=self.latencies.for_route(route).typical_s,
             cross_zone_cost_s=CROSS_ZONE_ROUND_TRIP_S,
             connect_cost_s=IN_ZONE_ROUND_TRIP_S,
             now=now,
         )
-        best = next((state for state in ranked if not state.is_ejected(now)), None)
-        return pools[best.server.id] if best is not None else None
+        best = best_replica(self.delegates_of(route), view)
+        return None if best is None or best.state.is_ejected(now) else best
 
     def delegates_of(self, route: Route) -> list[ServerPool]:
         """Return the pools of the hosts to which fan-outs of a route are delegated."""
--- a/src/rhubarbway/services/forwarding_context.py
+++ b/src/rhubarbway/services/forwarding_context.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
+from rhubarbway.decisions.replica_ranking import best_replica
 from rhubarbway.model import Route
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.invariants import Expect
@@ -19,6 +20,8 @@
 
     Attributes
     ----------
+    choose_replica : callable
+        Returns the server pool to use for an attempt; ``best_replica`` by default.
     clock : callable
         Returns the current instant; ``time.monotonic`` by default.
     pools_of : callable
@@ -50,6 +53,7 @@
 
     __slots__ = (
         "budget",
+        "choose_replica",
         "clock",
         "crashing_requests",
         "expect",
@@ -79,7 +83,9 @@
         expect: Expect,
         log,
         clock: Callable[[], float] = time.monotonic,
+        choose_replica: Callable[..., ServerPool | None] = best_replica,
     ) -> None:
+        self.choose_replica = choose_replica
         self.clock = clock
         self.crashing_requests = crashing_requests
         self.pools_of = pools_of
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -23,7 +23,7 @@
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.forwarding_log import log_decision, slowest_shards
 from rhubarbway.services.server_attempt import ServerAttempt
-from rhubarbway.services.server_choice import expected_latency_s, ranked_pools
+from rhubarbway.services.server_choice import best_pool, expected_latency_s
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shard_progress import ShardProgress
 
@@ -176,9 +176,9 @@
         at = min(self.wait_deadline(), self.hedge_at)
         return min(at, self.target_deadline) if self.is_fan_out and not self.missed_target else at
 
-    def ranked_pools(self, shard: ShardProgress, now: float) -> list[ServerPool]:
-        """Return the untried pools of a shard, the one to use first, ejected ones last."""
-        return ranked_pools(
+    def best_pool(self, shard: ShardProgress, now: float) -> ServerPool | None:
+        """Return the untried pool of a shard to use next, or None."""
+        return best_pool(
             self.context,
             shard.service,
             tried_servers=shard.tried_servers,
@@ -193,10 +193,7 @@
     def send_first_attempts(self) -> None:
         """Send the first attempt to each shard, unless it is overloaded or has no server in use."""
         now = self.context.clock()
-        chosen = {
-            shard.service: next(iter(self.ranked_pools(shard, now)), None)
-            for shard in self.shards.values()
-        }
+        chosen = {shard.service: self.best_pool(shard, now) for shard in self.shards.values()}
         shed_shards: set[str] = set()
         if self.is_fan_out:
             expected = {
@@ -303,7 +300,7 @@
         ):
             return False
         now = self.context.clock()
-        pool = next(iter(self.ranked_pools(shard, now)), None)
+        pool = self.best_pool(shard, now)
         if pool is None or now >= self.attempt_deadline or pool.state.is_ejected(now):
             return False
         if now + self.expected_latency_s(pool, now) > reply_deadline:
@@ -321,7 +318,7 @@
         so far are left out, so there is at most one such attempt for each server.
         """
         now = self.context.clock()
-        pool = next(iter(self.ranked_pools(shard, now)), None)
+        pool = self.best_pool(shard, now)
         if pool is None or now >= self.attempt_deadline or pool.state.is_ejected(now):
             return False
         self.send_attempt(shard, pool, replaces_undelivered=True)
--- a/src/rhubarbway/services/server_choice.py
+++ b/src/rhubarbway/services/server_choice.py
@@ -4,14 +4,12 @@
 
 from collections.abc import Collection
 
+from rhubarbway.decisions import replica_ranking
 from rhubarbway.decisions.delegation import CROSS_ZONE_ROUND_TRIP_S
-from rhubarbway.decisions.server_state import ranked_states
+from rhubarbway.decisions.replica_ranking import RankingView
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.server_pool import ServerPool
 
-# For the ranking, the expected latency of each server is multiplied by a random factor from 1 to
-# 1 + RANK_JITTER. It keeps hosts with the same information from all choosing the same server.
-RANK_JITTER = 0.1
 # Added to the expected latency of a server in another zone for the ranking, seconds: the round
 # trip, and about as much again for the price of traffic between zones.
 CROSS_ZONE_COST_S = 0.02
@@ -24,17 +22,15 @@
 CONNECT_COST_S = 0.02
 
 
-def ranked_pools(
+def best_pool(
     context: ForwardingContext,
     service: str,
     *,
     tried_servers: Collection[str] = (),
     typical_s: float,
     now: float,
-) -> list[ServerPool]:
-    """Return the pools of a service by increasing expected latency, ejected ones last.
-
-    Pools of servers that want no requests now are left out.
+) -> ServerPool | None:
+    """Return the pool of a service to use for the next attempt; None if no server may be used.
 
     Parameters
     ----------
@@ -43,32 +39,26 @@
     typical_s : float
         Typical latency of the route over all servers, seconds.
     """
-    pools = {
-        pool.server.id: pool
-        for pool in context.pools_of(service)
-        if pool.server.id not in tried_servers and pool.state.accepts_requests(now)
-    }
-    jitter = {key: 1.0 + RANK_JITTER * context.random.random() for key in pools}
-    ranked = ranked_states(
-        [pool.state for pool in pools.values()],
+    view = RankingView(
         zone=context.zone,
         typical_s=typical_s,
         cross_zone_cost_s=CROSS_ZONE_COST_S,
         connect_cost_s=CONNECT_COST_S,
         now=now,
-        jitter=jitter,
+        random=context.random,
     )
-    return [pools[state.server.id] for state in ranked]
+    return context.choose_replica(context.pools_of(service), view, excluded=tried_servers)
 
 
 def expected_latency_s(
     context: ForwardingContext, pool: ServerPool, *, typical_s: float, now: float
 ) -> float:
     """Return the expected latency of a request sent to a server now, seconds."""
-    cross_zone_cost_s = 0.0 if pool.server.zone == context.zone else CROSS_ZONE_ROUND_TRIP_S
-    return pool.state.expected_latency_s(
+    view = RankingView(
+        zone=context.zone,
         typical_s=typical_s,
-        cross_zone_cost_s=cross_zone_cost_s,
+        cross_zone_cost_s=CROSS_ZONE_ROUND_TRIP_S,
         connect_cost_s=CONNECT_TIME_S,
         now=now,
     )
+    return replica_ranking.expected_latency_s(pool.state, view)
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from random import Random
 
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
-from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
+from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route, SplitPart
 from rhubarbway_emulator.clock import VirtualClock
 from rhubarbway_emulator.hosts import EmulatedHost, HostConfig
-from rhubarbway_emulator.patterns import Pattern, RequestKind
+from rhubarbway_emulator.patterns import Pattern
+from rhubarbway_emulator.rankings import RANKINGS
+from rhubarbway_emulator.request_kinds import RequestKind
+from rhubarbway_emulator.server_load import LoadSummary
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
 
 # One-way delay between caller and host; the caller's latency includes both ways.
 CALLER_DELAY_S = 0.001
 # Results by kind leave out the requests of the first seconds: hosts have no latency estimates yet.
 WARM_UP_S = 2.0
-# Interval of the gossip about slow servers, and its propagation delay, seconds.
+# Interval of the gossip about slow servers, seconds.
 REPORT_INTERVAL_S = 0.5
-REPORT_DELAY_S = 1.0
+# Name of the service without shards.
+SINGLE_SERVICE = "single"
 # Reported latency of a run without any answer.
 NO_ANSWER_LATENCY_S = float("inf")
 
@@ -96,6 +101,7 @@
         "by_kind",
         "cross_zone_attempts",
         "first_attempts",
+        "loads",
         "new_connections",
         "unwanted_attempts",
     )
@@ -108,6 +114,8 @@
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
+        # Load of the shards and of the service without shards.
+        self.loads: dict[str, LoadSummary] = {}
         # Attempts that reached a server against its own notice.
         self.unwanted_attempts = 0
 
@@ -135,7 +143,8 @@
             timeout_s=kind.deadline_s,
             target_latency_s=kind.target_latency_s,
             max_attempts=2,
-            shards=shards,
+            shards=shards if kind.is_fan_out else (),
+            split=() if kind.is_fan_out else (SplitPart(service=SINGLE_SERVICE, weight=1.0),),
             record_limit=5,
             min_coverage=kind.min_coverage,
         )
@@ -146,34 +155,55 @@
 def build_servers(
     pattern: Pattern, *, clock: VirtualClock, random: Random
 ) -> dict[str, list[EmulatedServer]]:
-    """Return the servers of each shard; the zones that they are in rotate with the shard."""
-    return {
+    """Return the servers of each service; the zones that they are in rotate with the shard."""
+
+    def build(service: str, shard: int, index: int, slots: int) -> EmulatedServer:
+        return EmulatedServer(
+            server=BackendServer(
+                id=f"{service}-{index}",
+                service=service,
+                address="",
+                zone=f"z{(shard + index) % len(pattern.zones)}",
+                slots=slots,
+            ),
+            clock=clock,
+            pauses=PeriodicPauses(
+                interval_s=pattern.pause_interval_s,
+                duration_s=pattern.pause_s,
+                offset_s=random.random() * pattern.pause_interval_s,
+            ),
+            phases=pattern.faults(shard, index),
+            random=Random(random.random()),
+            queue_limit=pattern.queue_limit,
+            speed=pattern.speeds[(shard // len(pattern.zones) + index) % len(pattern.speeds)],
+            other_work=pattern.other_work,
+        )
+
+    servers = {
         f"s{shard}": [
-            EmulatedServer(
-                server=BackendServer(
-                    id=f"s{shard}-{index}",
-                    service=f"s{shard}",
-                    address="",
-                    zone=f"z{(shard + index) % len(pattern.zones)}",
-                    slots=pattern.slots,
-                ),
-                clock=clock,
-                pauses=PeriodicPauses(
-                    interval_s=pattern.pause_interval_s,
-                    duration_s=pattern.pause_s,
-                    offset_s=random.random() * pattern.pause_interval_s,
-                ),
-                phases=pattern.faults(shard, index),
-                random=Random(random.random()),
-            )
-            for index in range(pattern.server_zones)
+            build(f"s{shard}", shard, index, pattern.slots) for index in range(pattern.server_zones)
         ]
         for shard in range(pattern.shards)
     }
+    if pattern.single_replicas:
+        servers[SINGLE_SERVICE] = [
+            build(SINGLE_SERVICE, pattern.shards, index, pattern.single_slots)
+            for index in range(pattern.single_replicas)
+        ]
+    for replicas in servers.values():
+        for server in replicas:
+            server.replicas = replicas
+    return servers
 
 
-def run_pattern(pattern: Pattern, *, seed: int) -> RunResult:
-    """Run a pattern and return its result; equal seeds give equal results."""
+def run_pattern(pattern: Pattern, *, seed: int, ranking: str = "product") -> RunResult:
+    """Run a pattern and return its result; equal seeds give equal results.
+
+    Parameters
+    ----------
+    ranking : str
+        Name of the ranking of replicas that all hosts use, in ``RANKINGS``.
+    """
     random = Random(seed)
     clock = VirtualClock()
     servers = build_servers(pattern, clock=clock, random=random)
@@ -181,7 +211,9 @@
         host_count=sum(pattern.zones),
         send_cpu_s=pattern.send_cpu_s,
         reply_cpu_s=pattern.reply_cpu_s,
+        cross_zone_delay_s=pattern.cross_zone_delay_s,
         retry_allowance=pattern.retry_allowance,
+        ranking=RANKINGS[ranking],
     )
     service_times = {kind.name: (kind.service_time_s, kind.sigma) for kind in pattern.kinds}
     hosts = [
@@ -203,7 +235,9 @@
     ]
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
-    schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
+    schedule_slowness_gossip(
+        clock, hosts, ages_s=pattern.knowledge_age_s, until_s=pattern.duration_s
+    )
     result = RunResult(kinds=pattern.kinds)
     routes = build_routes(pattern)
     for kind in pattern.kinds:
@@ -214,18 +248,36 @@
     clock.run()
     clock.close()
     result.arrived_attempts = sum(
-        server.arrival_count for shard_servers in servers.values() for server in shard_servers
+        server.load.arrived for shard_servers in servers.values() for server in shard_servers
     )
+    result.loads = summarize_loads(servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
     result.new_connections = sum(host.new_connections for host in hosts)
     return result
 
 
+def summarize_loads(servers: dict[str, list[EmulatedServer]]) -> dict[str, LoadSummary]:
+    """Return the load of the shards and, if there is one, of the service without shards."""
+    loads = {service: [server.load for server in group] for service, group in servers.items()}
+    single = loads.pop(SINGLE_SERVICE, None)
+    summaries = {"shards": LoadSummary(loads.values())}
+    return summaries | ({SINGLE_SERVICE: LoadSummary([single])} if single else {})
+
+
 def schedule_slowness_gossip(
-    clock: VirtualClock, hosts: Sequence[EmulatedHost], *, until_s: float
+    clock: VirtualClock,
+    hosts: Sequence[EmulatedHost],
+    *,
+    ages_s: tuple[float, float],
+    until_s: float,
 ) -> None:
-    """Schedule the gossip about slow servers between hosts, with the delay of a large fleet."""
+    """Schedule the gossip about slow servers between hosts.
+
+    Reports reach a host after a delay between the two in ``ages_s``; it grows evenly from the first
+    host to the last, as with the hops in a large fleet.
+    """
+    least_s, greatest_s = ages_s
 
     def publish() -> None:
         slowness_reports = SlownessReports()
@@ -233,16 +285,17 @@
             slowness_reports.merge(
                 first_hand_reports(host.server_states(), now=clock.now), now=clock.now
             )
-        clock.call_at(clock.now + REPORT_DELAY_S, lambda: apply_reports(slowness_reports))
+        for number, host in enumerate(hosts):
+            delay_s = least_s + (greatest_s - least_s) * number / len(hosts)
+            clock.call_at(clock.now + delay_s, partial(apply_reports, host, slowness_reports))
         if clock.now < until_s:
             clock.call_at(clock.now + REPORT_INTERVAL_S, publish)
 
-    def apply_reports(slowness_reports: SlownessReports) -> None:
+    def apply_reports(host: EmulatedHost, slowness_reports: SlownessReports) -> None:
         reports = {report.server: report for report in slowness_reports.unexpired(now=clock.now)}
-        for host in hosts if reports else ():
-            for state in host.server_states():
-                if state.server.id in reports:
-                    apply_report(state, reports[state.server.id], now=clock.now)
+        for state in host.server_states() if reports else ():
+            if state.server.id in reports:
+                apply_report(state, reports[state.server.id], now=clock.now)
 
     clock.call_at(REPORT_INTERVAL_S, publish)
 
@@ -265,10 +318,10 @@
             deadline=clock.now + kind.deadline_s,
         )
         answer = host.answer(request, route)
-        result.first_attempts += len(route.shards)
+        result.first_attempts += max(1, len(route.shards))
         if started_at >= WARM_UP_S:
             latency_s = clock.now + CALLER_DELAY_S - started_at
-            result.by_kind[kind.name].record(kind, len(route.shards), answer, latency_s)
+            result.by_kind[kind.name].record(kind, max(1, len(route.shards)), answer, latency_s)
 
     return send_request
 
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from rhubarbway.decisions.answer_margin import AnswerMargin
@@ -12,6 +12,7 @@
     FanOutHost,
     choose_delegates,
 )
+from rhubarbway.decisions.replica_ranking import best_replica
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.sliding_window_budget import SlidingWindowBudget
 from rhubarbway.model import (
@@ -42,6 +43,9 @@
 CONNECT_CPU_S = 0.0005
 
 
+ChooseReplica = Callable[..., "EmulatedPool | None"]
+
+
 class HostConfig:
     """Parameters that all emulated hosts of a run share.
 
@@ -58,11 +62,14 @@
     retry_ratio, retry_allowance : float
         Limits of the extra attempts to a service in each window of the retry budget: a share of
         the requests, plus a number over all hosts.
+    ranking : callable
+        Returns the function by which the host of a name chooses replicas.
     """
 
     __slots__ = (
         "cross_zone_delay_s",
         "host_count",
+        "ranking",
         "reply_cpu_s",
         "retry_allowance",
         "retry_ratio",
@@ -78,7 +85,9 @@
         cross_zone_delay_s: float = 0.0044,
         retry_ratio: float = 0.2,
         retry_allowance: float = 58.0,
+        ranking: Callable[[str], ChooseReplica] = lambda host_name: best_replica,
     ) -> None:
+        self.ranking = ranking
         self.host_count = host_count
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -338,6 +347,7 @@
             expect=require,
             log=NullLog(),
             clock=clock.time,
+            choose_replica=config.ranking(name),  # type: ignore[arg-type]
         )
 
     def server_states(self) -> list[ServerState]:
@@ -384,7 +394,9 @@
         return answer
 
     def choose_delegate(self, route: Route) -> EmulatedHost | None:
-        """Return the host to which a fan-out is delegated, or None if it runs here."""
+        """Return the host to which a fan-out is delegated, or None if the request runs here."""
+        if not route.shards:
+            return None
         if route.name not in self.delegates:
             self.delegates[route.name] = self.find_delegates(route)
         delegates = self.delegates[route.name]
--- a/src/rhubarbway_emulator/main.py
+++ b/src/rhubarbway_emulator/main.py
@@ -8,6 +8,8 @@
 
 from rhubarbway_emulator.experiment import result_table, run_pattern
 from rhubarbway_emulator.patterns import PATTERNS
+from rhubarbway_emulator.rankings import RANKINGS
+from rhubarbway_emulator.server_load import load_table
 
 app = typer.Typer(add_completion=False, help=__doc__)
 
@@ -19,6 +21,9 @@
     ] = None,
     seeds: Annotated[int, typer.Option(min=1, help="Number of runs of each pattern.")] = 3,
     first_seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 1,
+    ranking: Annotated[
+        str, typer.Option(help=f"Ranking of replicas: {', '.join(RANKINGS)}.")
+    ] = "product",
 ) -> None:
     """Run load patterns in virtual time."""
     unknown = sorted(set(names or ()) - PATTERNS.keys())
@@ -26,16 +31,22 @@
         raise typer.BadParameter(
             f"unknown patterns: {', '.join(unknown)}; known: {', '.join(PATTERNS)}"
         )
+    if ranking not in RANKINGS:
+        raise typer.BadParameter(f"unknown ranking: {ranking}; known: {', '.join(RANKINGS)}")
     for name in names or PATTERNS:
         pattern = PATTERNS[name]
-        results = [run_pattern(pattern, seed=first_seed + number) for number in range(seeds)]
+        results = [
+            run_pattern(pattern, seed=first_seed + number, ranking=ranking)
+            for number in range(seeds)
+        ]
         attempt_ratio = sum(result.attempt_ratio for result in results) / seeds
         cross_zone_share = sum(result.cross_zone_attempts for result in results) / sum(
             r.arrived_attempts for r in results
         )
         value = sum(result.mean_value for result in results) / seeds
         typer.echo(f"{name}: {pattern.title}")
-        for row in result_table(pattern, results):
+        rows = result_table(pattern, results)
+        for row in rows + load_table([result.loads for result in results]):
             typer.echo("  " + "".join(cell.rjust(9) for cell in row))
         typer.echo(
             f"  mean value of a request {value:.3f} (0 to 1), "
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -4,115 +4,26 @@
 
 from collections.abc import Callable, Sequence
 
-from rhubarbway_emulator.servers import FaultPhase
+from rhubarbway_emulator.request_kinds import (
+    ALERT,
+    LARGE_ALERT,
+    LARGE_SWEEP,
+    SHARED_CARD,
+    SHARED_PEEK,
+    SHARED_SWEEP,
+    SWEEP,
+    UNEVEN_LOOKUP,
+    UNEVEN_SWEEP,
+    WIDE_ALERT,
+    WIDE_SWEEP,
+    RequestKind,
+)
+from rhubarbway_emulator.server_load import OtherWork
+from rhubarbway_emulator.servers import QUEUE_LIMIT, FaultPhase
 
 # Begin and end of a burst that does not occur, seconds.
 NEVER = float("inf")
 
-
-class RequestKind:
-    """One kind of request.
-
-    Attributes
-    ----------
-    target_latency_s, deadline_s : float
-        Latency up to which an answer has full value, and time after which the caller gives up.
-    service_time_s, sigma : float
-        Mean service time at a server, and the standard deviation of its logarithm.
-    requests_per_s : float
-        Request rate over all hosts.
-    min_coverage : float
-        Minimum share of the shards in an answer.
-    late_value : float
-        Value of a complete late answer; a complete answer in time has the value 1.
-    """
-
-    __slots__ = (
-        "deadline_s",
-        "late_value",
-        "min_coverage",
-        "name",
-        "requests_per_s",
-        "service_time_s",
-        "sigma",
-        "target_latency_s",
-    )
-
-    def __init__(
-        self,
-        *,
-        name: str,
-        target_latency_s: float,
-        deadline_s: float,
-        service_time_s: float,
-        requests_per_s: float,
-        min_coverage: float,
-        sigma: float = 0.35,
-        late_value: float = 0.1,
-    ) -> None:
-        self.name = name
-        self.target_latency_s = target_latency_s
-        self.deadline_s = deadline_s
-        self.service_time_s = service_time_s
-        self.requests_per_s = requests_per_s
-        self.min_coverage = min_coverage
-        self.sigma = sigma
-        self.late_value = late_value
-
-
-# Requests to the default deployment: frequent ones with a long target latency, rare ones with a
-# short one.
-SWEEP = RequestKind(
-    name="sweep",
-    target_latency_s=0.233,
-    deadline_s=0.8,
-    service_time_s=0.03,
-    requests_per_s=68.0,
-    min_coverage=0.89,
-)
-ALERT = RequestKind(
-    name="alert",
-    target_latency_s=0.091,
-    deadline_s=0.4,
-    service_time_s=0.01,
-    requests_per_s=22.0,
-    min_coverage=0.75,
-)
-# The same kinds with the parameters of ``WIDE_DEPLOYMENT``; results name them alike.
-WIDE_SWEEP = RequestKind(
-    name="sweep",
-    target_latency_s=0.238,
-    deadline_s=0.82,
-    service_time_s=0.03,
-    requests_per_s=42.0,
-    min_coverage=0.95,
-)
-WIDE_ALERT = RequestKind(
-    name="alert",
-    target_latency_s=0.095,
-    deadline_s=0.42,
-    service_time_s=0.01,
-    requests_per_s=14.0,
-    min_coverage=0.85,
-)
-# The same kinds with the parameters of ``LARGE_DEPLOYMENT``.
-LARGE_SWEEP = RequestKind(
-    name="sweep",
-    target_latency_s=0.238,
-    deadline_s=0.816,
-    service_time_s=0.03,
-    requests_per_s=37.7,
-    min_coverage=0.95,
-)
-LARGE_ALERT = RequestKind(
-    name="alert",
-    target_latency_s=0.0949,
-    deadline_s=0.416,
-    service_time_s=0.01,
-    requests_per_s=12.6,
-    min_coverage=0.85,
-)
-
 # Returns the fault phases of a server from the index of its shard and its index in the shard.
 FaultPhases = Callable[[int, int], Sequence[FaultPhase]]
 
@@ -216,23 +127,40 @@
         a larger processor.
     weak_cores : float
         Cores of the other hosts.
-    retry_allowance : float
+    retry_allowance, cross_zone_delay_s : float
         See ``HostConfig``.
+    queue_limit : int
+        Requests that may wait at a server; it refuses further ones.
+    speeds : tuple of float
+        Speeds of the replicas of a service; which replica has which rotates with the shard.
+    other_work : OtherWork
+        Work of other programs on the machines of the servers.
+    single_replicas, single_slots : int
+        Number of replicas of the service without shards, and slots of each.
+    knowledge_age_s : tuple of (float, float)
+        Least and greatest age of the reports that a host receives from others, seconds.
     """
 
     __slots__ = (
         "burst",
+        "cross_zone_delay_s",
         "duration_s",
         "faults",
         "kinds",
+        "knowledge_age_s",
+        "other_work",
         "pause_interval_s",
         "pause_s",
+        "queue_limit",
         "reply_cpu_s",
         "retry_allowance",
         "send_cpu_s",
         "server_zones",
         "shards",
+        "single_replicas",
+        "single_slots",
         "slots",
+        "speeds",
         "strong_cores",
         "strong_hosts",
         "title",
@@ -260,7 +188,21 @@
         strong_hosts: int = 0,
         strong_cores: float = 2.15,
         weak_cores: float = 1.07,
+        cross_zone_delay_s: float = 0.0044,
+        queue_limit: int = QUEUE_LIMIT,
+        speeds: tuple[float, ...] = (1.0,),
+        other_work: OtherWork | None = None,
+        single_replicas: int = 0,
+        single_slots: int = 3,
+        knowledge_age_s: tuple[float, float] = (1.0, 1.0),
     ) -> None:
+        self.cross_zone_delay_s = cross_zone_delay_s
+        self.queue_limit = queue_limit
+        self.speeds = speeds
+        self.other_work = other_work or OtherWork()
+        self.single_replicas = single_replicas
+        self.single_slots = single_slots
+        self.knowledge_age_s = knowledge_age_s
         self.strong_hosts = strong_hosts
         self.strong_cores = strong_cores
         self.weak_cores = weak_cores
@@ -309,6 +251,46 @@
     "weak_cores": 0.516,
 }
 
+# 70 hosts and 36 shards on servers of three speeds; a host gets a request every 1.4 s.
+UNEVEN_DEPLOYMENT = {
+    "kinds": (UNEVEN_SWEEP, UNEVEN_LOOKUP),
+    "zones": (24, 23, 23),
+    "shards": 36,
+    "slots": 4,
+    "queue_limit": 24,
+    "speeds": (0.8, 1.0, 1.3),
+    "send_cpu_s": 0.0008,
+    "reply_cpu_s": 0.0005,
+    "retry_allowance": 180.0,
+    "strong_hosts": 2,
+    "weak_cores": 0.516,
+    "knowledge_age_s": (0.1, 3.0),
+    "duration_s": 16.0,
+}
+
+# 106 hosts and 36 shards on servers that share their machines, and a service without shards whose
+# replicas are not spread evenly over the hosts.
+SHARED_DEPLOYMENT = {
+    "kinds": (SHARED_SWEEP, SHARED_PEEK, SHARED_CARD),
+    "zones": (36, 35, 35),
+    "shards": 36,
+    "slots": 4,
+    "queue_limit": 24,
+    "pause_s": 0.1,
+    "pause_interval_s": 2.4,
+    "speeds": (0.8, 1.0, 1.3),
+    "other_work": OtherWork(share=0.15, slowdown=2.5, period_s=0.6),
+    "send_cpu_s": 0.0008,
+    "reply_cpu_s": 0.0005,
+    "cross_zone_delay_s": 0.0014,
+    "retry_allowance": 276.0,
+    "strong_hosts": 2,
+    "weak_cores": 0.516,
+    "single_replicas": 3,
+    "knowledge_age_s": (0.1, 3.0),
+    "duration_s": 16.0,
+}
+
 PATTERNS = {
     "calm": Pattern(title="servers that pause for 200 ms every 4.5 s"),
     "slow-servers": Pattern(
@@ -363,4 +345,28 @@
         faults=slow_servers(shards=range(0, 36, 2), slowdown=10.0, begin_s=6.0, end_s=14.0),
         **WIDE_DEPLOYMENT,
     ),
+    "uneven-servers": Pattern(
+        title="70 hosts, 36 shards on servers of three speeds, in calm", **UNEVEN_DEPLOYMENT
+    ),
+    "uneven-servers-burst": Pattern(
+        title="70 hosts, 36 shards on servers of three speeds, four times the rate for 5 s while "
+        "one server of every other shard is three times slower",
+        faults=slow_servers(shards=range(0, 36, 2), slowdown=3.0, begin_s=6.0, end_s=11.0),
+        burst=(6.0, 11.0, 4.0),
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "short-slowness": Pattern(
+        title="70 hosts, 36 shards, one server of each shard six times slower for half a second",
+        faults=slow_servers(shards=range(36), slowdown=6.0, begin_s=6.0, end_s=6.5),
+        **UNEVEN_DEPLOYMENT,
+    ),
+    "shared-machines": Pattern(
+        title="106 hosts, 36 shards and one service without shards, servers that share machines",
+        **SHARED_DEPLOYMENT,
+    ),
+    "shared-machines-burst": Pattern(
+        title="106 hosts and servers that share machines, six times the rate for 5 s",
+        burst=(6.0, 11.0, 6.0),
+        **SHARED_DEPLOYMENT,
+    ),
 }
--- a/src/rhubarbway_emulator/servers.py
+++ b/src/rhubarbway_emulator/servers.py
@@ -8,6 +8,7 @@
 
 from rhubarbway.model import BackendServer
 from rhubarbway_emulator.clock import VirtualClock
+from rhubarbway_emulator.server_load import OtherWork, ServerLoad
 
 # Requests that may wait for a slot, not counting running ones; a server refuses further ones.
 QUEUE_LIMIT = 18
@@ -70,6 +71,10 @@
         self.duration_s = duration_s
         self.offset_s = offset_s
 
+    def is_paused(self, now: float) -> bool:
+        """Whether the server does no work at an instant."""
+        return (now - self.offset_s) % self.interval_s < self.duration_s
+
     def completion_time(self, begin_s: float, service_time_s: float) -> float:
         """Return the instant at which work that begins at ``begin_s`` ends.
 
@@ -103,28 +108,44 @@
     on_end : callable
         Called at the end of the job, unless it was cancelled: with True if the job ran to
         completion, or False if the server has crashed.
+    waits_beside_idle : bool
+        Whether the job had to wait at its arrival, while another replica could have started it.
     """
 
-    __slots__ = ("cancelled", "on_end", "service_time_s")
+    __slots__ = ("arrived_at", "cancelled", "on_end", "service_time_s", "waits_beside_idle")
 
     def __init__(self, *, service_time_s: float, on_end: Callable[[bool], None]) -> None:
         self.service_time_s = service_time_s
         self.on_end = on_end
+        self.arrived_at = 0.0
         self.cancelled = False
+        self.waits_beside_idle = False
 
 
 class EmulatedServer:
-    """One server, shared by the pools of all hosts."""
+    """One server, shared by the pools of all hosts.
+
+    Attributes
+    ----------
+    speed : float
+        Speed relative to the usual service times.
+    replicas : list of EmulatedServer
+        All servers of the service, this one included; whoever builds them sets it.
+    """
 
     __slots__ = (
-        "arrival_count",
         "clock",
+        "load",
+        "other_work",
         "pauses",
         "phases",
         "queue",
+        "queue_limit",
         "random",
+        "replicas",
         "running",
         "server",
+        "speed",
     )
 
     def __init__(
@@ -135,15 +156,22 @@
         pauses: PeriodicPauses,
         phases: Sequence[FaultPhase] = (),
         random: Random,
+        queue_limit: int = QUEUE_LIMIT,
+        speed: float = 1.0,
+        other_work: OtherWork | None = None,
     ) -> None:
         self.random = random
+        self.queue_limit = queue_limit
+        self.speed = speed
+        self.other_work = other_work or OtherWork()
+        self.replicas: list[EmulatedServer] = []
+        self.load = ServerLoad()
         self.server = server
         self.clock = clock
         self.pauses = pauses
         self.phases = list(phases)
         self.running = 0
         self.queue: deque[Job] = deque()
-        self.arrival_count = 0
 
     def active_phases(self) -> list[FaultPhase]:
         """Return the fault phases in force now."""
@@ -152,7 +180,16 @@
 
     def slowdown(self) -> float:
         """Return the slowdown factor in force now; infinite if the server has crashed."""
-        return max((phase.slowdown for phase in self.active_phases()), default=1.0)
+        slowdown = max((phase.slowdown for phase in self.active_phases()), default=1.0)
+        return slowdown * self.other_work.slowdown_at(self.clock.now, seed=self.server.id)
+
+    def can_start(self) -> bool:
+        """Whether a request that arrived now would run at once, at the usual speed."""
+        return (
+            self.running < self.server.slots
+            and not self.pauses.is_paused(self.clock.now)
+            and self.slowdown() == 1.0
+        )
 
     def quiet_s(self) -> float:
         """Return the time for which a server that refuses a request now wants none, seconds."""
@@ -171,14 +208,18 @@
 
     def accept(self, job: Job) -> bool:
         """Start or queue a job; return False if the server refuses it."""
-        self.arrival_count += 1
-        if self.draw_refusal():
+        self.load.arrived += 1
+        job.arrived_at = self.clock.now
+        has_slot = self.running < self.server.slots
+        if self.draw_refusal() or (not has_slot and len(self.queue) >= self.queue_limit):
+            self.load.refused += 1
             return False
-        if self.running < self.server.slots:
+        if not has_slot or self.pauses.is_paused(self.clock.now):
+            job.waits_beside_idle = any(replica.can_start() for replica in self.replicas)
+        if has_slot:
             self.start(job)
-        elif len(self.queue) >= QUEUE_LIMIT:
-            return False
         else:
+            self.load.waited += 1
             self.queue.append(job)
         return True
 
@@ -189,7 +230,9 @@
             job.on_end(False)
             return
         self.running += 1
-        end = self.pauses.completion_time(self.clock.now, job.service_time_s * slowdown)
+        end = self.pauses.completion_time(
+            self.clock.now, job.service_time_s * slowdown / self.speed
+        )
         self.clock.call_at(end, lambda: self.finish(job))
 
     def finish(self, job: Job) -> None:
@@ -198,13 +241,24 @@
         The job is lost if the server is down at this instant.
         """
         self.running -= 1
+        self.record_end(job)
         if not job.cancelled:
             job.on_end(self.slowdown() != float("inf"))
         while self.queue and self.running < self.server.slots:
             next_job = self.queue.popleft()
-            if not next_job.cancelled:
+            if next_job.cancelled:
+                self.record_end(next_job)
+            else:
                 self.start(next_job)
 
+    def record_end(self, job: Job) -> None:
+        """Record how long a job took, or waited before it was cancelled."""
+        self.load.record_end(
+            elapsed_s=self.clock.now - job.arrived_at,
+            service_time_s=job.service_time_s,
+            beside_idle=job.waits_beside_idle,
+        )
+
 
 def lognormal_service_time(random: Random, *, mean_s: float, sigma: float) -> float:
     """Draw a log-normal service time; ``sigma`` is the standard deviation of its logarithm."""
