Let knowledge of a slow server fade in the time for which it was slow

One late reply because of a pause of 200 ms kept a server out of use for several seconds, at all hosts, because the slowness halved in 2 s whatever it rested on. Other replicas were overrun in the meantime. The half-life is now the time for which the server has been known to be slow, from 0.5 to 2 s; reports of other hosts carry that time and lengthen it. A refusal counts as 2 s, since it does not come from a pause. Messages carry at most 128 reports.

--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -14,9 +14,14 @@
 SLOWNESS_EWMA_WEIGHT = 0.25
 # Ratios are capped, so that one very late reply does not keep a server out of selection for long.
 MAX_SLOWNESS_RATIO = 12.0
-# The slowness above 1 halves in this time without new replies or reports, seconds. Without the
-# decay a server that seems slow would get no requests, and could not show that it has recovered.
-SLOWNESS_HALF_LIFE_S = 2.0
+# Without new replies or reports the slowness above 1 halves in the time for which the server has
+# been known to be slow, within these bounds, seconds. Without the decay a server that seems slow
+# would get no requests, and could not show that it has recovered. A server that pauses for a moment
+# gets requests again after about a second, while one that is slow for seconds is avoided longer.
+MIN_SLOWNESS_HALF_LIFE_S = 0.5
+MAX_SLOWNESS_HALF_LIFE_S = 2.0
+# Slowness below which a server counts as recovered: a later slow reply begins a new time.
+RECOVERED_SLOWNESS = 1.5
 # Durations of the first and of the longest ejection, seconds. An ejected server ranks after all
 # others and gets no extra attempts. Each ejection is EJECTION_BACKOFF_FACTOR times as long as the
 # one before, until the server answers or has no failure for FAILURE_WINDOW_S.
@@ -62,6 +67,9 @@
     slowness : float
         EWMA of the ratio of latencies to the typical latency; above 1 the server is slower than
         typical.
+    slow_since : float
+        Instant since which the server has been known to be slow, by replies to this host and by
+        reports. Meaningful only while the slowness is above ``RECOVERED_SLOWNESS``.
     observed_at : float
         Instant of the newest reply or report that changed the slowness.
     warm_at : float
@@ -91,6 +99,7 @@
         "needs_connection",
         "quiet_until",
         "server",
+        "slow_since",
         "slowness",
         "warm_at",
     )
@@ -99,6 +108,7 @@
         self.server = server
         self.in_flight: dict[int, float] = {}
         self.slowness = 1.0
+        self.slow_since = now
         self.observed_at = now
         self.is_first_hand = False
         self.max_connections = math.inf
@@ -131,6 +141,8 @@
             self.ejected_until = float("-inf")
         if outcome.end is ExchangeEnd.REFUSED:
             self.record_slowness(REFUSED_SLOWNESS, now)
+            # Unlike a late reply, a refusal cannot come from a pause that has just ended.
+            self.slow_since = min(self.slow_since, now - MAX_SLOWNESS_HALF_LIFE_S)
         if outcome.end in (ExchangeEnd.ANSWERED, ExchangeEnd.CANCELLED) and typical_s > 0.0:
             ratio = min(outcome.latency_s / typical_s, MAX_SLOWNESS_RATIO)
             # The latency of a cancelled attempt is a lower bound, so it may only raise the average.
@@ -140,6 +152,8 @@
     def record_slowness(self, ratio: float, now: float) -> None:
         """Decay the EWMA until ``now``, and update it with the latency ratio of one attempt."""
         current = self.current_slowness(now)
+        if current < RECOVERED_SLOWNESS:
+            self.slow_since = now
         self.slowness = current + SLOWNESS_EWMA_WEIGHT * (ratio - current)
         self.observed_at = now
         self.is_first_hand = True
@@ -162,7 +176,9 @@
         excess = self.slowness - 1.0
         if excess <= 0.0:
             return self.slowness
-        return 1.0 + excess * 0.5 ** ((now - self.observed_at) / SLOWNESS_HALF_LIFE_S)
+        known_for_s = self.observed_at - self.slow_since
+        half_life_s = min(max(known_for_s, MIN_SLOWNESS_HALF_LIFE_S), MAX_SLOWNESS_HALF_LIFE_S)
+        return 1.0 + excess * 0.5 ** ((now - self.observed_at) / half_life_s)
 
     def is_ejected(self, now: float) -> bool:
         """Whether the server is ejected at ``now``; an answer ends an ejection early."""
--- a/src/rhubarbway/decisions/slowness_reports.py
+++ b/src/rhubarbway/decisions/slowness_reports.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
-from rhubarbway.decisions.server_state import ServerState
+from rhubarbway.decisions.server_state import RECOVERED_SLOWNESS, ServerState
 
 # Slowness from which a server is reported to other hosts.
 MIN_REPORTED_SLOWNESS = 2.5
@@ -18,20 +19,34 @@
 REPORT_LIFETIME_S = 3.0
 # Observations of this host that are younger than this take precedence over reports, seconds.
 FIRST_HAND_PRECEDENCE_S = 1.0
+# Reports in one message to another host, about 4 KB; the newest are sent. More servers than that
+# are slow only in an overload, in which reports no longer tell servers apart.
+MAX_SHARED_REPORTS = 128
 # A host to which more than this fraction of the servers that it used recently seems slow is slow
 # itself, and reports none.
 MAX_SLOW_FRACTION = 0.67
 
 
 class SlownessReport:
-    """Slowness of a server that a host observed at an instant of ``time.monotonic()``."""
+    """Slowness of a server that a host observed.
+
+    Attributes
+    ----------
+    observed_at : float
+        Instant of the newest observation, of ``time.monotonic()``.
+    slow_since : float
+        Instant since which the server has been known to be slow.
+    """
 
-    __slots__ = ("observed_at", "server", "slowness")
+    __slots__ = ("observed_at", "server", "slow_since", "slowness")
 
-    def __init__(self, *, server: str, slowness: float, observed_at: float) -> None:
+    def __init__(
+        self, *, server: str, slowness: float, observed_at: float, slow_since: float | None = None
+    ) -> None:
         self.server = server
         self.slowness = slowness
         self.observed_at = observed_at
+        self.slow_since = observed_at if slow_since is None else slow_since
 
 
 class SlownessReports:
@@ -53,10 +68,20 @@
     def merge(self, reports: Iterable[SlownessReport], *, now: float) -> None:
         """Merge reports of this host or of other hosts; expired and future ones are ignored."""
         for report in reports:
+            if not now - REPORT_LIFETIME_S < report.observed_at <= now:
+                continue
             known = self.reports.get(report.server)
-            is_newer = known is None or report.observed_at > known.observed_at
-            if is_newer and now - REPORT_LIFETIME_S < report.observed_at <= now:
+            if known is None or known.observed_at <= now - REPORT_LIFETIME_S:
                 self.reports[report.server] = report
+                continue
+            # Both are about the same slowness, since neither has expired.
+            newest = report if report.observed_at > known.observed_at else known
+            self.reports[report.server] = SlownessReport(
+                server=report.server,
+                slowness=newest.slowness,
+                observed_at=newest.observed_at,
+                slow_since=min(known.slow_since, report.slow_since),
+            )
 
     def unexpired(self, *, now: float) -> list[SlownessReport]:
         """Return the reports that have not expired, and drop the others."""
@@ -65,6 +90,12 @@
             del self.reports[server]
         return list(self.reports.values())
 
+    def to_share(self, *, now: float) -> list[SlownessReport]:
+        """Return the reports for a message to another host."""
+        return heapq.nlargest(
+            MAX_SHARED_REPORTS, self.unexpired(now=now), key=lambda report: report.observed_at
+        )
+
 
 def first_hand_reports(states: Iterable[ServerState], *, now: float) -> list[SlownessReport]:
     """Return reports of the slow servers that a host has observed with its own requests."""
@@ -78,7 +109,10 @@
         return []
     return [
         SlownessReport(
-            server=state.server.id, slowness=state.slowness, observed_at=state.observed_at
+            server=state.server.id,
+            slowness=state.slowness,
+            observed_at=state.observed_at,
+            slow_since=state.slow_since,
         )
         for state in slow
     ]
@@ -90,6 +124,8 @@
         state.is_first_hand and now - state.observed_at < FIRST_HAND_PRECEDENCE_S
     ):
         return False
+    is_known = state.current_slowness(now) >= RECOVERED_SLOWNESS
+    state.slow_since = min(state.slow_since, report.slow_since) if is_known else report.slow_since
     state.slowness = report.slowness
     state.observed_at = report.observed_at
     state.is_first_hand = False
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -100,12 +100,14 @@
 class WireReport(msgspec.Struct, array_like=True):
     """A slow server; ``slowness`` is the ratio of its latency to the typical latency.
 
-    ``age_ms`` is the age of the observation.
+    ``age_ms`` is the age of the newest observation, and ``known_ms`` the time for which the server
+    had been known to be slow by then; hosts of an earlier version neither send nor read it.
     """
 
     server: Name
     slowness: Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_SLOWNESS)]
     age_ms: Age
+    known_ms: Age = 0
 
 
 class WireLeavingMark(msgspec.Struct, array_like=True):
@@ -358,14 +360,23 @@
 
 def report_to_wire(report: SlownessReport, *, now: float) -> WireReport:
     """Return the wire form of a report."""
-    age_ms = max(0, round((now - report.observed_at) * 1000))
-    return WireReport(server=report.server, slowness=round(report.slowness, 1), age_ms=age_ms)
+    return WireReport(
+        server=report.server,
+        slowness=round(report.slowness, 1),
+        age_ms=max(0, round((now - report.observed_at) * 1000)),
+        known_ms=max(0, round((report.observed_at - report.slow_since) * 1000)),
+    )
 
 
 def report_from_wire(wire: WireReport, *, now: float) -> SlownessReport:
     """Return the report that a message describes."""
     at = now - max(0, wire.age_ms) / 1000
-    return SlownessReport(server=wire.server, slowness=wire.slowness, observed_at=at)
+    return SlownessReport(
+        server=wire.server,
+        slowness=wire.slowness,
+        observed_at=at,
+        slow_since=at - wire.known_ms / 1000,
+    )
 
 
 def leaving_mark_to_wire(mark: LeavingMark, *, now: float) -> WireLeavingMark:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -284,7 +284,7 @@
             self.slowness_reports.merge(
                 first_hand_reports((pool.state for pool in pools), now=now), now=now
             )
-            return self.slowness_reports.unexpired(now=now)
+            return self.slowness_reports.to_share(now=now)
 
     def merge_reports(self, reports: Iterable[SlownessReport]) -> bool:
         """Merge another host's reports; return whether one is about a server not yet reported."""
