Read what servers state about their load, and rank by it for a moment

Some servers state requests running, waiting, slots and the speed of their machine in each reply. The gateway decodes it into the server notice; in the ranking its effect halves in 0.25 s, and an idle server gains nothing by it, so that it does not draw a herd. Servers that state nothing are ranked by their replies as before.

--- a/src/rhubarbway/decisions/replica_ranking.py
+++ b/src/rhubarbway/decisions/replica_ranking.py
@@ -95,14 +95,15 @@
     """Return the expected latency of a request that is sent to a server now, seconds."""
     now = view.now
     typical_s = view.typical_s
-    latency_s = typical_s * state.current_slowness(now)
+    # Both factors show the same load, the first one late and the second one for a moment.
+    latency_s = typical_s * max(state.current_slowness(now), state.stated_factor(now))
     in_flight = len(state.in_flight)
     if in_flight:
         latency_s *= 1.0 + in_flight / max(1, state.server.slots)
     if in_flight >= state.max_connections:
         # Attempts that would wait for a free connection, this one included, relative to the limit.
         queued = in_flight + 1 - state.max_connections
-        latency_s += typical_s * state.current_slowness(now) * queued / state.max_connections
+        latency_s *= 1.0 + queued / state.max_connections
     if in_flight:
         latency_s += OVERDUE_WEIGHT * state.overdue_s(typical_s, now)
     if state.needs_connection:
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -8,7 +8,7 @@
 
 import math
 
-from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
+from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome, ServerLoad
 
 # Weight of the newest ratio in the exponentially weighted moving average (EWMA).
 SLOWNESS_EWMA_WEIGHT = 0.25
@@ -22,6 +22,9 @@
 MAX_SLOWNESS_HALF_LIFE_S = 2.0
 # Slowness below which a server counts as recovered: a later slow reply begins a new time.
 RECOVERED_SLOWNESS = 1.5
+# Without a newer statement, the effect of what a server states about its load halves in this time,
+# seconds: about as long as its queue needs to drain, and other work on its machine to end.
+STATED_LOAD_HALF_LIFE_S = 0.25
 # Durations of the first and of the longest ejection, seconds. An ejected server ranks after all
 # others and gets no extra attempts. Each ejection is EJECTION_BACKOFF_FACTOR times as long as the
 # one before, until the server answers or has no failure for FAILURE_WINDOW_S.
@@ -82,6 +85,11 @@
         Whether the server has announced that it leaves.
     needs_connection : bool
         Whether a request would have to open a connection first.
+    stated_excess : float
+        Part above 1 of the factor by which the server's last statement of its load lengthens a
+        request; 0 without a statement.
+    stated_at : float
+        Instant of that statement.
     quiet_until : float
         Instant until which the server wants no requests from this host.
     """
@@ -101,6 +109,8 @@
         "server",
         "slow_since",
         "slowness",
+        "stated_at",
+        "stated_excess",
         "warm_at",
     )
 
@@ -111,6 +121,8 @@
         self.slow_since = now
         self.observed_at = now
         self.is_first_hand = False
+        self.stated_excess = 0.0
+        self.stated_at = now
         self.max_connections = math.inf
         self.warm_at = now + server.warm_up_s
         self.consecutive_failures = 0
@@ -180,6 +192,20 @@
         half_life_s = min(max(known_for_s, MIN_SLOWNESS_HALF_LIFE_S), MAX_SLOWNESS_HALF_LIFE_S)
         return 1.0 + excess * 0.5 ** ((now - self.observed_at) / half_life_s)
 
+    def record_load(self, load: ServerLoad, now: float) -> None:
+        """Apply what the server states about its load in a reply that was received now."""
+        # One further request would wait for the requests beyond the free slots.
+        queued = max(0, load.running + load.waiting + 1 - load.slots) / load.slots
+        self.stated_excess = max(0.0, load.slowdown * (1.0 + queued) - 1.0)
+        self.stated_at = now
+
+    def stated_factor(self, now: float) -> float:
+        """Return the factor by which the stated load, aged towards a usual one, lengthens work."""
+        if not self.stated_excess:
+            return 1.0
+        age_s = now - self.stated_at
+        return 1.0 + self.stated_excess * 0.5 ** (age_s / STATED_LOAD_HALF_LIFE_S)
+
     def is_ejected(self, now: float) -> bool:
         """Whether the server is ejected at ``now``; an answer ends an ejection early."""
         return now < self.ejected_until
--- a/src/rhubarbway/decisions/tests/test_replica_ranking.py
+++ b/src/rhubarbway/decisions/tests/test_replica_ranking.py
@@ -7,7 +7,13 @@
 from rhubarbway.decisions.replica_ranking import RETURN_S, RankingView, best_replica
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
-from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome, ExecutionStatus
+from rhubarbway.model import (
+    BackendServer,
+    ExchangeEnd,
+    ExchangeOutcome,
+    ExecutionStatus,
+    ServerLoad,
+)
 
 TYPICAL_S = 0.04
 
@@ -86,6 +92,36 @@
         assert choices([near, far], now=4.0)["far"] == 1000
 
 
+class TestStatedLoad:
+    def test_a_server_with_a_queue_is_avoided_for_a_moment(self):
+        """Load: a server that has just stated that three requests wait for each of its slots.
+
+        Guards against adding to its queue, and against knowledge that outlives the queue.
+        """
+        near, far = pool_of("near"), pool_of("far", zone="b")
+        near.state.record_load(ServerLoad(running=4, waiting=12, slots=4), 1.0)
+        assert choices([near, far], now=1.1)["far"] == 1000
+        assert choices([near, far], now=3.0)["near"] == 1000
+
+    def test_other_work_on_the_machine_counts(self):
+        """Load: other programs make a server four times slower at this moment.
+
+        Guards against a server that gets requests because none of its slots is taken.
+        """
+        near, far = pool_of("near"), pool_of("far", zone="b")
+        near.state.record_load(ServerLoad(running=0, waiting=0, slots=4, slowdown=4.0), 1.0)
+        assert choices([near, far], now=1.1)["far"] == 1000
+
+    def test_an_idle_server_does_not_attract_requests(self):
+        """Load: calm; one server in another zone states that it is idle and fast.
+
+        Guards against a fast server that is overrun because it looks idle.
+        """
+        near, far = pool_of("near"), pool_of("far", zone="b")
+        far.state.record_load(ServerLoad(running=0, waiting=0, slots=4, slowdown=0.2), 1.0)
+        assert choices([near, far], now=1.0)["near"] == 1000
+
+
 class TestEvenLoad:
     def test_hosts_that_know_the_same_choose_different_replicas(self):
         """Load: many hosts choose among equal replicas at the same moment.
--- a/src/rhubarbway/model/__init__.py
+++ b/src/rhubarbway/model/__init__.py
@@ -30,7 +30,7 @@
 from rhubarbway.model.outcome import AttemptOutcome, OutcomeKind
 from rhubarbway.model.query import Query, SubQuery
 from rhubarbway.model.route import CallerLimits, Route, RoutingTable, SplitPart
-from rhubarbway.model.server_notice import Incarnation, ServerNotice
+from rhubarbway.model.server_notice import Incarnation, ServerLoad, ServerNotice
 from rhubarbway.model.store_item import StoreItem
 
 __all__ = [
@@ -69,6 +69,7 @@
     "ReplicaReply",
     "Route",
     "RoutingTable",
+    "ServerLoad",
     "ServerNotice",
     "Service",
     "Shard",
--- a/src/rhubarbway/model/server_notice.py
+++ b/src/rhubarbway/model/server_notice.py
@@ -6,11 +6,35 @@
 Incarnation = tuple[str, int, str, str]
 
 
+class ServerLoad:
+    """Load of a server at the moment of a reply.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that run, and that wait for a slot.
+    slots : int
+        Requests that the server can run concurrently.
+    slowdown : float
+        Duration of work on the server's machine at this moment, relative to the usual one.
+    """
+
+    __slots__ = ("running", "slowdown", "slots", "waiting")
+
+    def __init__(self, *, running: int, waiting: int, slots: int, slowdown: float = 1.0) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowdown = slowdown
+
+
 class ServerNotice:
     """Statements of a server in one reply.
 
     Attributes
     ----------
+    load : ServerLoad or None
+        Load of the server; None if it states none.
     leaving : bool
         Whether the server shuts down soon and wants no new requests from any host.
     quiet_s : float or None
@@ -18,8 +42,15 @@
         none.
     """
 
-    __slots__ = ("leaving", "quiet_s")
+    __slots__ = ("leaving", "load", "quiet_s")
 
-    def __init__(self, *, leaving: bool = False, quiet_s: float | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        leaving: bool = False,
+        quiet_s: float | None = None,
+        load: ServerLoad | None = None,
+    ) -> None:
+        self.load = load
         self.leaving = leaving
         self.quiet_s = quiet_s
--- a/src/rhubarbway/platform/headers.py
+++ b/src/rhubarbway/platform/headers.py
@@ -17,6 +17,9 @@
 NOT_EXECUTED = "X-Not-Executed"
 # "1" in every reply of a replica that shuts down soon.
 LEAVING = "Server-Leaving"
+# In the replies of some replicas: requests running, requests waiting and slots, separated by
+# commas, and possibly how long work takes there at this moment, percent of the usual time.
+SERVER_LOAD = "X-Server-Load"
 # In a 503 reply of a replica: how long it wants no requests from this host, seconds with fractions.
 RETRY_AFTER = "Retry-After"
 # Signatures of the replies in a merged answer, and the number of shards that it lacks.
--- a/src/rhubarbway/platform/replicas.py
+++ b/src/rhubarbway/platform/replicas.py
@@ -10,6 +10,7 @@
     ExecutionStatus,
     ForwardedRequest,
     ReplicaReply,
+    ServerLoad,
     ServerNotice,
 )
 from rhubarbway.platform.headers import (
@@ -20,6 +21,7 @@
     NOT_EXECUTED,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LOAD,
     SIGNATURE,
     connection_options,
     exclude_headers,
@@ -29,6 +31,11 @@
 OVERLOADED_STATUS = 503
 # Longest idle timeout that is believed, seconds; no connection is idle for longer.
 MAX_IDLE_TIMEOUT_S = 86_400.0
+# Greatest figures of a load that are believed. A server that states more is as good as unusable.
+MAX_LOAD_REQUESTS = 10_000
+MAX_SLOWDOWN_PERCENT = 10_000
+# Longest text of a load that is parsed: four figures of at most 19 digits, and spaces.
+MAX_LOAD_TEXT = 100
 
 
 def request_header_lines(
@@ -83,7 +90,36 @@
     quiet_s = None
     if reply.status == OVERLOADED_STATUS:
         quiet_s = parse_seconds(headers_by_name.get(RETRY_AFTER.lower(), ""))
-    return ServerNotice(leaving=leaving, quiet_s=quiet_s) if leaving or quiet_s else None
+    load = parse_server_load(headers_by_name.get(SERVER_LOAD.lower(), ""))
+    if not (leaving or quiet_s or load):
+        return None
+    return ServerNotice(leaving=leaving, quiet_s=quiet_s, load=load)
+
+
+def parse_server_load(value: str) -> ServerLoad | None:
+    """Return the load that a header states, or None for any other text.
+
+    Examples
+    --------
+    >>> load = parse_server_load("3, 1, 4, 250")
+    >>> load.running, load.waiting, load.slots, load.slowdown
+    (3, 1, 4, 2.5)
+    >>> parse_server_load("3,0,4").slowdown
+    1.0
+    >>> [parse_server_load(text) for text in ("", "3,0", "3,-1,4", "3,0,0", "a,b,c,d")]
+    [None, None, None, None, None]
+    """
+    figures = [part.strip() for part in value[: MAX_LOAD_TEXT + 1].split(",")]
+    if len(value) > MAX_LOAD_TEXT or len(figures) not in (3, 4):
+        return None
+    if not all(figure.isascii() and figure.isdecimal() for figure in figures):
+        return None
+    running, waiting, slots = (min(int(figure), MAX_LOAD_REQUESTS) for figure in figures[:3])
+    percent = int(figures[3]) if len(figures) == 4 else 100
+    if not slots or not percent:
+        return None
+    slowdown = min(percent, MAX_SLOWDOWN_PERCENT) / 100
+    return ServerLoad(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
 
 
 def parse_seconds(value: str) -> float | None:
--- a/src/rhubarbway/platform/tests/test_decoding.py
+++ b/src/rhubarbway/platform/tests/test_decoding.py
@@ -316,7 +316,26 @@
 
     def test_a_misdirected_reply_says_nothing_about_the_server(self):
         """Guards against a notice of the process that has taken over the address of a server."""
-        assert self.notice(421, Server_Leaving="1", Retry_After="3") is None
+        notice = self.notice(421, Server_Leaving="1", Retry_After="3", X_Server_Load="9,9,4")
+        assert notice is None
+
+    def test_a_load_is_read_in_any_reply(self):
+        """Guards against the load of a server that refuses, or of one that is slow, being lost."""
+        load = self.notice(503, x_server_load="4,7,4,250").load
+        assert (load.running, load.waiting, load.slots, load.slowdown) == (4, 7, 4, 2.5)
+        assert self.notice(200, X_Server_Load="4,7,4").load.slowdown == 1.0
+
+    @pytest.mark.parametrize(
+        "value", ["4,7", "4,7,0", "4,-7,4", "4,7,4,0", "4;7;4", "²,1,4", "9" * 5000 + ",1,4"]
+    )
+    def test_an_unreadable_load_is_no_load(self, value):
+        """Guards against an exception, or a load without meaning, from a faulty header."""
+        assert self.notice(200, X_Server_Load=value) is None
+
+    def test_a_huge_load_is_limited(self):
+        """Guards against numbers that cannot be converted to floats."""
+        load = self.notice(200, X_Server_Load="1,9999999999999999999,4,9999999999999999999").load
+        assert load.waiting <= 10_000 and load.slowdown <= 100.0
 
     @pytest.mark.parametrize(
         ("status", "value", "quiet_s"),
--- a/src/rhubarbway/platform/tests/test_names.py
+++ b/src/rhubarbway/platform/tests/test_names.py
@@ -12,7 +12,7 @@
     r"topK|minShardRatio|trafficSplit|pathPrefix|routeType|targetLatencyMs|warmupLeftMs|staleRead"
     r"|maxAttempts|maxConnections|kv-watch|kv-range|kv-key|hasMore|atRev|op/config"
     r"|X-Expect-Instance|X-Part-Stamps|X-Missing-Shards|X-Not-Executed|X-Server-Stamp"
-    r"|X-Deadline-Ms|configApplyMs|retryBudgetRatio"
+    r"|X-Deadline-Ms|X-Server-Load|configApplyMs|retryBudgetRatio"
 )
 SOURCES = [
     path
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -234,6 +234,9 @@
         """Apply what a server states about itself, in the task that received its reply."""
         server = pool.server
         now = time.monotonic()
+        if notice.load is not None:
+            with pool.lock:
+                pool.state.record_load(notice.load, now)
         if notice.quiet_s is not None:
             with self.lock:
                 until = self.notices.record_quiet(server.incarnation, notice.quiet_s, now=now)
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -213,6 +213,7 @@
         reply_cpu_s=pattern.reply_cpu_s,
         cross_zone_delay_s=pattern.cross_zone_delay_s,
         retry_allowance=pattern.retry_allowance,
+        servers_state_load=pattern.servers_state_load,
         ranking=RANKINGS[ranking],
     )
     service_times = {kind.name: (kind.service_time_s, kind.sigma) for kind in pattern.kinds}
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -23,6 +23,7 @@
     ForwardedRequest,
     ReplicaReply,
     Route,
+    ServerLoad,
 )
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.forwarding_context import ForwardingContext
@@ -62,6 +63,8 @@
     retry_ratio, retry_allowance : float
         Limits of the extra attempts to a service in each window of the retry budget: a share of
         the requests, plus a number over all hosts.
+    servers_state_load : bool
+        Whether servers state their load in their replies.
     ranking : callable
         Returns the function by which the host of a name chooses replicas.
     """
@@ -74,6 +77,7 @@
         "retry_allowance",
         "retry_ratio",
         "send_cpu_s",
+        "servers_state_load",
     )
 
     def __init__(
@@ -85,9 +89,11 @@
         cross_zone_delay_s: float = 0.0044,
         retry_ratio: float = 0.2,
         retry_allowance: float = 58.0,
+        servers_state_load: bool = False,
         ranking: Callable[[str], ChooseReplica] = lambda host_name: best_replica,
     ) -> None:
         self.ranking = ranking
+        self.servers_state_load = servers_state_load
         self.host_count = host_count
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -149,7 +155,7 @@
     ``abort``.
     """
 
-    __slots__ = ("attempt", "ended", "job", "pool", "quiet_s")
+    __slots__ = ("attempt", "ended", "job", "load", "pool", "quiet_s")
 
     def __init__(self, *, pool: EmulatedPool, attempt: ServerAttempt) -> None:
         self.pool = pool
@@ -157,6 +163,8 @@
         self.ended = False
         # Time without requests that the server's reply asks for, seconds.
         self.quiet_s = 0.0
+        # Load that the server states in its reply.
+        self.load: ServerLoad | None = None
         service_time_s = pool.host.sample_service_time_s(attempt.route_name)
         self.job = Job(service_time_s=service_time_s, on_end=self.send_reply)
         attempt.connection = self  # type: ignore[assignment]
@@ -198,6 +206,8 @@
     def schedule_end(self, end: ExchangeEnd, ran: ExecutionStatus) -> None:
         """Schedule the end of the exchange for when the host has read the reply."""
         host = self.pool.host
+        if host.config.servers_state_load and end is not ExchangeEnd.LOST:
+            self.load = self.pool.emulated_server.stated_load()
         arrives_at = host.clock.now + self.one_way_delay_s()
         host.clock.call_at(
             arrives_at,
@@ -224,6 +234,8 @@
         if end in (ExchangeEnd.ANSWERED, ExchangeEnd.REFUSED):
             self.pool.release_connection()
             self.pool.apply_notice(self.quiet_s)
+            if self.load is not None:
+                self.pool.state.record_load(self.load, self.pool.host.clock.now)
         host = self.pool.host
         now = host.clock.now
         outcome = ExchangeOutcome(
--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -137,6 +137,8 @@
         Work of other programs on the machines of the servers.
     single_replicas, single_slots : int
         Number of replicas of the service without shards, and slots of each.
+    servers_state_load : bool
+        See ``HostConfig``.
     knowledge_age_s : tuple of (float, float)
         Least and greatest age of the reports that a host receives from others, seconds.
     """
@@ -156,6 +158,7 @@
         "retry_allowance",
         "send_cpu_s",
         "server_zones",
+        "servers_state_load",
         "shards",
         "single_replicas",
         "single_slots",
@@ -194,8 +197,10 @@
         other_work: OtherWork | None = None,
         single_replicas: int = 0,
         single_slots: int = 3,
+        servers_state_load: bool = False,
         knowledge_age_s: tuple[float, float] = (1.0, 1.0),
     ) -> None:
+        self.servers_state_load = servers_state_load
         self.cross_zone_delay_s = cross_zone_delay_s
         self.queue_limit = queue_limit
         self.speeds = speeds
@@ -355,6 +360,13 @@
         burst=(6.0, 11.0, 4.0),
         **UNEVEN_DEPLOYMENT,
     ),
+    "uneven-servers-stated-load": Pattern(
+        title="the same burst on servers that state their load in their replies",
+        faults=slow_servers(shards=range(0, 36, 2), slowdown=3.0, begin_s=6.0, end_s=11.0),
+        burst=(6.0, 11.0, 4.0),
+        servers_state_load=True,
+        **UNEVEN_DEPLOYMENT,
+    ),
     "short-slowness": Pattern(
         title="70 hosts, 36 shards, one server of each shard six times slower for half a second",
         faults=slow_servers(shards=range(36), slowdown=6.0, begin_s=6.0, end_s=6.5),
@@ -364,6 +376,12 @@
         title="106 hosts, 36 shards and one service without shards, servers that share machines",
         **SHARED_DEPLOYMENT,
     ),
+    "shared-machines-stated-load": Pattern(
+        title="the same burst on servers that state their load in their replies",
+        burst=(6.0, 11.0, 6.0),
+        servers_state_load=True,
+        **SHARED_DEPLOYMENT,
+    ),
     "shared-machines-burst": Pattern(
         title="106 hosts and servers that share machines, six times the rate for 5 s",
         burst=(6.0, 11.0, 6.0),
--- a/src/rhubarbway_emulator/server_load.py
+++ b/src/rhubarbway_emulator/server_load.py
@@ -37,7 +37,7 @@
         return self.slowdown if is_present else 1.0
 
 
-class ServerLoad:
+class LoadRecord:
     """What happened to the requests that reached one server.
 
     Attributes
@@ -77,7 +77,7 @@
 
     __slots__ = ("busiest_over_mean", "late", "late_beside_idle", "refused", "waited")
 
-    def __init__(self, services: Iterable[Sequence[ServerLoad]]) -> None:
+    def __init__(self, services: Iterable[Sequence[LoadRecord]]) -> None:
         groups = [group for group in services if any(load.arrived for load in group)]
         loads = [load for group in groups for load in group]
         arrived = max(1, sum(load.arrived for load in loads))
@@ -89,7 +89,7 @@
         self.late_beside_idle = sum(load.late_beside_idle for load in loads) / max(1, late)
 
 
-def busiest_over_mean(loads: Sequence[ServerLoad]) -> float:
+def busiest_over_mean(loads: Sequence[LoadRecord]) -> float:
     """Return the requests of the busiest server relative to the mean."""
     counts = [load.arrived for load in loads]
     return max(counts) * len(counts) / sum(counts)
--- a/src/rhubarbway_emulator/servers.py
+++ b/src/rhubarbway_emulator/servers.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from rhubarbway.model import BackendServer
+from rhubarbway.model import BackendServer, ServerLoad
 from rhubarbway_emulator.clock import VirtualClock
-from rhubarbway_emulator.server_load import OtherWork, ServerLoad
+from rhubarbway_emulator.server_load import LoadRecord, OtherWork
 
 # Requests that may wait for a slot, not counting running ones; a server refuses further ones.
 QUEUE_LIMIT = 18
@@ -165,7 +165,7 @@
         self.speed = speed
         self.other_work = other_work or OtherWork()
         self.replicas: list[EmulatedServer] = []
-        self.load = ServerLoad()
+        self.load = LoadRecord()
         self.server = server
         self.clock = clock
         self.pauses = pauses
@@ -199,6 +199,15 @@
         """Whether the server announces now that it leaves."""
         return any(phase.leaving for phase in self.active_phases())
 
+    def stated_load(self) -> ServerLoad:
+        """Return the load that the server states in a reply now."""
+        return ServerLoad(
+            running=self.running,
+            waiting=len(self.queue),
+            slots=self.server.slots,
+            slowdown=min(self.slowdown(), 100.0) / self.speed,
+        )
+
     def draw_refusal(self) -> bool:
         """Draw whether the server refuses the next request although it has capacity."""
         probability = max(
