--- a/src/rhubarbway_emulator/tests/test_patterns.py
+++ b/src/rhubarbway_emulator/tests/test_patterns.py
@@ -49,6 +49,22 @@
         assert result.arrived_attempts - result.first_attempts <= allowed * pattern.shards
 
 
+class TestUnevenServers:
+    @pytest.mark.parametrize("name", ["uneven-servers-burst", "short-slowness"])
+    def test_uneven_servers_keep_the_target_value(self, result_of, name):
+        """Guards against servers that are overrun in turns while others idle.
+
+        Loads: a burst on servers of three speeds, and servers that are slow for half a second.
+        """
+        result = result_of(name)
+        assert result.mean_value >= TARGET_VALUE
+        assert all(load.refused == 0.0 for load in result.loads.values())
+
+    def test_the_service_without_shards_is_measured(self, result_of):
+        """Guards against a load that counts only fan-outs."""
+        assert result_of("shared-machines").loads["single"].busiest_over_mean >= 1.0
+
+
 class TestNotices:
     @pytest.mark.parametrize("name", ["quiet-servers", "leaving-servers"])
     def test_servers_that_want_no_requests_get_none(self, result_of, name):
