Rank a server that seems faster than typical as a typical one

A host sees a reply of each server every few seconds, so a server is mostly fast by chance. Hosts moved to it and opened connections, also across zones.

--- a/src/rhubarbway/decisions/replica_ranking.py
+++ b/src/rhubarbway/decisions/replica_ranking.py
@@ -95,8 +95,10 @@
     """Return the expected latency of a request that is sent to a server now, seconds."""
     now = view.now
     typical_s = view.typical_s
-    # Both factors show the same load, the first one late and the second one for a moment.
-    latency_s = typical_s * max(state.current_slowness(now), state.stated_factor(now))
+    # Both factors show the same load, the first one late and the second one for a moment. A server
+    # that seems faster than typical counts as typical: hosts that see few replies of each server
+    # would otherwise move to whichever was fast by chance, and open connections to it.
+    latency_s = typical_s * max(1.0, state.current_slowness(now), state.stated_factor(now))
     in_flight = len(state.in_flight)
     if in_flight:
         latency_s *= 1.0 + in_flight / max(1, state.server.slots)
--- a/src/rhubarbway/decisions/tests/test_replica_ranking.py
+++ b/src/rhubarbway/decisions/tests/test_replica_ranking.py
@@ -131,6 +131,16 @@
         counts = choices([pool_of("one"), pool_of("two"), pool_of("three")], now=1.0)
         assert max(counts.values()) < 1.2 * 1000 / 3
 
+    def test_a_fast_server_is_not_taken_by_all_hosts(self):
+        """Load: two servers of a zone, one of which has answered faster than usual.
+
+        Guards against a fast server that is overrun because it looks idle.
+        """
+        fast, usual = pool_of("fast"), pool_of("usual")
+        for step in range(10):
+            answer(fast, latency_s=TYPICAL_S * 0.6, at=step * 0.1)
+        assert 400 < choices([fast, usual], now=1.0)["fast"] < 600
+
     def test_a_returning_server_is_not_taken_by_all_hosts_at_once(self):
         """Load: a server whose ejection ends at the same moment at all hosts.
 
