--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -1,4 +1,4 @@
-"""State that an entry host keeps for each backend server, and the ranking of servers by latency.
+"""State that an entry host keeps for each backend server; ``replica_ranking`` ranks servers by it.
 
 Typical latencies differ between routes. The *slowness* of a server is therefore the ratio of its
 latency to the typical latency of the same route over all servers.
@@ -7,19 +7,26 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable
 
 from rhubarbway.decisions.server_load import ServerLoad
 from rhubarbway.decisions.warm_up import ColdRequestLimit, no_limit
-from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome
+from rhubarbway.model import BackendServer, ExchangeEnd, ExchangeOutcome, StatedLoad
 
 # Weight of the newest ratio in the exponentially weighted moving average (EWMA).
 SLOWNESS_EWMA_WEIGHT = 0.25
 # Ratios are capped, so that one very late reply does not keep a server out of selection for long.
 MAX_SLOWNESS_RATIO = 12.0
-# The slowness above 1 halves in this time without new replies or reports, seconds. Without the
-# decay a server that seems slow would get no requests, and could not show that it has recovered.
-SLOWNESS_HALF_LIFE_S = 2.0
+# Without new replies or reports the slowness above 1 halves in the time for which the server has
+# been known to be slow, within these bounds, seconds. Without the decay a server that seems slow
+# would get no requests, and could not show that it has recovered. A server that pauses for a moment
+# gets requests again after about a second, while one that is slow for seconds is avoided longer.
+MIN_SLOWNESS_HALF_LIFE_S = 0.5
+MAX_SLOWNESS_HALF_LIFE_S = 2.0
+# Slowness below which a server counts as recovered: a later slow reply begins a new time.
+RECOVERED_SLOWNESS = 1.5
+# Without a newer statement, the effect of what a server states about its load halves in this time,
+# seconds: about as long as its queue needs to drain, and other work on its machine to end.
+STATED_LOAD_HALF_LIFE_S = 0.25
 # Durations of the first and of the longest ejection, seconds. An ejected server ranks after all
 # others and gets no extra attempts. Each ejection is EJECTION_BACKOFF_FACTOR times as long as the
 # one before, until the server answers or has no failure for FAILURE_WINDOW_S.
@@ -31,14 +38,9 @@
 # An attempt in flight for longer than this multiple of the typical latency suggests that its server
 # is paused. Attempts that this host has queued for a connection count, too.
 OVERDUE_FACTOR = 2.0
-# Weight, in the expected latency, of the time by which the oldest attempt in flight is overdue.
-OVERDUE_WEIGHT = 3.0
 # A refused request counts as a reply of this slowness, since it needs another attempt. So a server
 # that refuses part of its requests gets fewer of them, even if its other replies are fast.
 REFUSED_SLOWNESS = 8.0
-# Additional latency of a cold server (one that has just started, see ``warm_at``), as a fraction of
-# the typical latency.
-COLD_PENALTY_FRACTION = 0.6
 
 # Ends of an attempt that count as failures of the server. A misdirected request is one of them: a
 # different server listens at the address.
@@ -70,6 +72,9 @@
     slowness : float
         EWMA of the ratio of latencies to the typical latency; above 1 the server is slower than
         typical.
+    slow_since : float
+        Instant since which the server has been known to be slow, by replies to this host and by
+        reports. Meaningful only while the slowness is above ``RECOVERED_SLOWNESS``.
     observed_at : float
         Instant of the newest reply or report that changed the slowness.
     warm_at : float
@@ -90,6 +95,11 @@
         Attempts that run on connections or wait for one, and the pace of the server.
     needs_connection : bool
         Whether a request would have to open a connection first.
+    stated_excess : float
+        Part above 1 of the factor by which the server's last statement of its load lengthens a
+        request; 0 without a statement.
+    stated_at : float
+        Instant of that statement.
     quiet_until : float
         Instant until which the server wants no requests from this host.
     """
@@ -111,7 +121,10 @@
         "needs_connection",
         "quiet_until",
         "server",
+        "slow_since",
         "slowness",
+        "stated_at",
+        "stated_excess",
         "warm_at",
     )
 
@@ -120,8 +133,11 @@
         self.in_flight: dict[int, float] = {}
         self.load: ServerLoad = ServerLoad(slots=server.slots)
         self.slowness = 1.0
+        self.slow_since = now
         self.observed_at = now
         self.is_first_hand = False
+        self.stated_excess = 0.0
+        self.stated_at = now
         self.max_connections = math.inf
         self.warm_at = now + server.warm_up_s
         self.cold_limit = ColdRequestLimit(share=no_limit)
@@ -169,6 +185,8 @@
             self.ejected_until = float("-inf")
         if outcome.end is ExchangeEnd.REFUSED:
             self.record_slowness(REFUSED_SLOWNESS, now)
+            # Unlike a late reply, a refusal cannot come from a pause that has just ended.
+            self.slow_since = min(self.slow_since, now - MAX_SLOWNESS_HALF_LIFE_S)
         if outcome.end in (ExchangeEnd.ANSWERED, ExchangeEnd.CANCELLED) and typical_s > 0.0:
             ratio = min(outcome.latency_s / typical_s, MAX_SLOWNESS_RATIO)
             # The latency of a cancelled attempt is a lower bound, so it may only raise the average.
@@ -178,6 +196,8 @@
     def record_slowness(self, ratio: float, now: float) -> None:
         """Decay the EWMA until ``now``, and update it with the latency ratio of one attempt."""
         current = self.current_slowness(now)
+        if current < RECOVERED_SLOWNESS:
+            self.slow_since = now
         self.slowness = current + SLOWNESS_EWMA_WEIGHT * (ratio - current)
         self.observed_at = now
         self.is_first_hand = True
@@ -200,7 +220,23 @@
         excess = self.slowness - 1.0
         if excess <= 0.0:
             return self.slowness
-        return 1.0 + excess * 0.5 ** ((now - self.observed_at) / SLOWNESS_HALF_LIFE_S)
+        known_for_s = self.observed_at - self.slow_since
+        half_life_s = min(max(known_for_s, MIN_SLOWNESS_HALF_LIFE_S), MAX_SLOWNESS_HALF_LIFE_S)
+        return 1.0 + excess * 0.5 ** ((now - self.observed_at) / half_life_s)
+
+    def record_load(self, load: StatedLoad, now: float) -> None:
+        """Apply what the server states about its load in a reply that was received now."""
+        # One further request would wait for the requests beyond the free slots.
+        queued = max(0, load.running + load.waiting + 1 - load.slots) / load.slots
+        self.stated_excess = max(0.0, load.slowdown * (1.0 + queued) - 1.0)
+        self.stated_at = now
+
+    def stated_factor(self, now: float) -> float:
+        """Return the factor by which the stated load, aged towards a usual one, lengthens work."""
+        if not self.stated_excess:
+            return 1.0
+        age_s = now - self.stated_at
+        return 1.0 + self.stated_excess * 0.5 ** (age_s / STATED_LOAD_HALF_LIFE_S)
 
     def is_ejected(self, now: float) -> bool:
         """Whether the server is ejected at ``now``; an answer ends an ejection early."""
@@ -215,82 +251,3 @@
             return 0.0
         oldest = min(self.in_flight.values())
         return max(0.0, now - oldest - OVERDUE_FACTOR * typical_s)
-
-    def expected_latency_s(
-        self,
-        *,
-        typical_s: float,
-        cross_zone_cost_s: float,
-        connect_cost_s: float = 0.0,
-        now: float,
-    ) -> float:
-        """Return the expected latency of a request that is sent now, seconds.
-
-        Parameters
-        ----------
-        typical_s : float
-            Typical latency of the route over all servers, seconds.
-        cross_zone_cost_s : float
-            Added for a server in another zone, seconds: the round trip and, in a ranking, an
-            equivalent of the price of the traffic. 0 for a server in this host's zone.
-        connect_cost_s : float
-            Added for a server to which this host has no idle connection, seconds: the time to open
-            one and, in a ranking, an equivalent of its price.
-        """
-        slots = max(1, self.server.slots)
-        # Attempts that would wait for a free connection, this one included, divided by the limit
-        # of connections; 0 without a limit.
-        queueing = max(0.0, len(self.in_flight) + 1 - self.max_connections) / self.max_connections
-        load = 1.0 + len(self.in_flight) / slots + queueing
-        processing_s = typical_s * self.current_slowness(now) * load
-        cold_penalty_s = COLD_PENALTY_FRACTION * typical_s if self.is_cold(now) else 0.0
-        return (
-            processing_s
-            + (connect_cost_s if self.needs_connection else 0.0)
-            + cold_penalty_s
-            + cross_zone_cost_s
-            + OVERDUE_WEIGHT * self.overdue_s(typical_s, now)
-        )
-
-
-def ranked_states(
-    states: Iterable[ServerState],
-    *,
-    zone: str,
-    typical_s: float,
-    cross_zone_cost_s: float,
-    connect_cost_s: float = 0.0,
-    excluded: Collection[str] = (),
-    now: float,
-    jitter: dict[str, float] | None = None,
-) -> list[ServerState]:
-    """Return the states by rising expected latency; reserve and then ejected servers come last.
-
-    Parameters
-    ----------
-    zone : str
-        Zone of this host.
-    cross_zone_cost_s : float
-        Added to the expected latency of a server in another zone, seconds.
-    connect_cost_s : float
-        Added to the expected latency of a server without an idle connection, seconds.
-    excluded : collection of str
-        Ids of servers to leave out.
-    jitter : dict of str to float
-        Random factor of the expected latency (around 1) by server id. With it, hosts that have the
-        same data choose different servers.
-    """
-    factors = jitter or {}
-
-    def sort_key(state: ServerState) -> tuple[bool, bool, float]:
-        zone_cost_s = 0.0 if state.server.zone == zone else cross_zone_cost_s
-        expected = state.expected_latency_s(
-            typical_s=typical_s,
-            cross_zone_cost_s=zone_cost_s,
-            connect_cost_s=connect_cost_s,
-            now=now,
-        )
-        jittered = expected * factors.get(state.server.id, 1.0)
-        return state.is_ejected(now), state.is_reserve, jittered
-
-    return sorted((state for state in states if state.server.id not in excluded), key=sort_key)
--- a/src/rhubarbway/services/first_attempts.py
+++ b/src/rhubarbway/services/first_attempts.py
@@ -9,7 +9,7 @@
 from rhubarbway.decisions.shard_shedding import select_shed_shards
 from rhubarbway.model import Route
 from rhubarbway.services.forwarding_context import ForwardingContext
-from rhubarbway.services.server_choice import expected_latency_s, ranked_pools
+from rhubarbway.services.server_choice import best_pool, expected_latency_s
 from rhubarbway.services.server_pool import ServerPool
 
 Choices = Mapping[str, ServerPool | None]
@@ -51,14 +51,17 @@
     now = context.clock()
     chosen: dict[str, ServerPool | None] = {}
     for service in services:
-        ranked = ranked_pools(context, service, typical_s=typical_s, now=now)
-        usable = [pool for pool in ranked if not pool.state.is_ejected(now)]
+        usable = [
+            pool
+            for pool in context.pools_of(service)
+            if pool.state.accepts_requests(now) and not pool.state.is_ejected(now)
+        ]
         if any(must_wait(route, pool, now) for pool in usable):
             chosen[service] = min(
                 usable, key=lambda pool: outlook_of(context, route, pool, now).total_s
             )
         else:
-            chosen[service] = next(iter(ranked), None)
+            chosen[service] = best_pool(context, service, typical_s=typical_s, now=now)
     return chosen
 
 
--- a/src/rhubarbway/services/forwarding_context.py
+++ b/src/rhubarbway/services/forwarding_context.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
+from rhubarbway.decisions.replica_ranking import best_replica
 from rhubarbway.model import Route
 from rhubarbway.services.arrival_load import ArrivalLoad
 from rhubarbway.services.crashing_requests import CrashingRequestService
@@ -20,6 +21,8 @@
 
     Attributes
     ----------
+    choose_replica : callable
+        Returns the server pool to use for an attempt; ``best_replica`` by default.
     clock : callable
         Returns the current instant; ``time.monotonic`` by default.
     pools_of : callable
@@ -57,6 +60,7 @@
     __slots__ = (
         "arrivals",
         "budget",
+        "choose_replica",
         "clock",
         "crashing_requests",
         "exchange_s",
@@ -89,9 +93,11 @@
         clock: Callable[[], float] = time.monotonic,
         exchange_s: Callable[[Route], float] | None = None,
         arrivals: ArrivalLoad | None = None,
+        choose_replica: Callable[..., ServerPool | None] = best_replica,
     ) -> None:
         self.exchange_s = exchange_s or typical_s
         self.arrivals = arrivals or ArrivalLoad()
+        self.choose_replica = choose_replica
         self.clock = clock
         self.crashing_requests = crashing_requests
         self.pools_of = pools_of
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -333,6 +333,9 @@
         """Apply what a server states about itself, in the task that received its reply."""
         server = pool.server
         now = time.monotonic()
+        if notice.load is not None:
+            with pool.lock:
+                pool.state.record_load(notice.load, now)
         if notice.quiet_s is not None:
             with self.lock:
                 until = self.notices.record_quiet(server.incarnation, notice.quiet_s, now=now)
@@ -386,7 +389,7 @@
             self.slowness_reports.merge(
                 first_hand_reports((pool.state for pool in pools), now=now), now=now
             )
-            return self.slowness_reports.unexpired(now=now)
+            return self.slowness_reports.to_share(now=now)
 
     def merge_reports(self, reports: Iterable[SlownessReport]) -> bool:
         """Merge another host's reports; return whether one is about a server not yet reported."""
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -7,24 +7,28 @@
 from random import Random
 
 from rhubarbway.decisions.slowness_reports import SlownessReports, apply_report, first_hand_reports
-from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route
+from rhubarbway.model import BackendServer, ForwardedAnswer, ForwardedRequest, Route, SplitPart
 from rhubarbway.services.servers import connection_limit
 from rhubarbway_emulator.clock import VirtualClock
 from rhubarbway_emulator.cold_servers import busiest_cold_second, schedule_cold_servers
 from rhubarbway_emulator.connections import limit_connections
 from rhubarbway_emulator.hosts import NOTICE_SLACK_S, EmulatedHost, HostConfig
-from rhubarbway_emulator.patterns import Evacuation, Pattern, RequestKind
+from rhubarbway_emulator.patterns import Evacuation, Pattern
+from rhubarbway_emulator.rankings import RANKINGS
+from rhubarbway_emulator.request_kinds import RequestKind
+from rhubarbway_emulator.server_load import LoadSummary
 from rhubarbway_emulator.servers import EmulatedServer, PeriodicPauses
 
 # One-way delay between caller and host; the caller's latency includes both ways.
 CALLER_DELAY_S = 0.001
 # Results by kind leave out the requests of the first seconds: hosts have no latency estimates yet.
 WARM_UP_S = 2.0
-# Interval of the gossip about slow servers, and its propagation delay, seconds.
+# Interval of the gossip about slow servers, seconds.
 REPORT_INTERVAL_S = 0.5
-REPORT_DELAY_S = 1.0
 # Longest time until a host learns of a change of the store, seconds.
 FEED_DELAY_S = 1.0
+# Name of the service without shards.
+SINGLE_SERVICE = "single"
 # Reported latency of a run without any answer.
 NO_ANSWER_LATENCY_S = float("inf")
 
@@ -150,6 +154,7 @@
         "cross_zone_attempts",
         "evacuated_attempts",
         "first_attempts",
+        "loads",
         "new_connections",
         "unwanted_attempts",
     )
@@ -169,6 +174,8 @@
         self.cross_zone_attempts = 0
         self.first_attempts = 0
         self.new_connections = 0
+        # Load of the shards and of the service without shards.
+        self.loads: dict[str, LoadSummary] = {}
         # Attempts that reached a server against its own notice, and those that reached one of an
         # evacuated zone.
         self.unwanted_attempts = 0
@@ -205,7 +212,8 @@
             target_latency_s=kind.target_latency_s,
             priority=kind.priority,
             max_attempts=2,
-            shards=shards,
+            shards=shards if kind.is_fan_out else (),
+            split=() if kind.is_fan_out else (SplitPart(service=SINGLE_SERVICE, weight=1.0),),
             record_limit=5,
             min_coverage=kind.min_coverage,
         )
@@ -216,35 +224,55 @@
 def build_servers(
     pattern: Pattern, *, clock: VirtualClock, random: Random
 ) -> dict[str, list[EmulatedServer]]:
-    """Return the servers of each shard; the zones that they are in rotate with the shard."""
-    return {
+    """Return the servers of each service; the zones that they are in rotate with the shard."""
+
+    def build(service: str, shard: int, index: int, slots: int) -> EmulatedServer:
+        return EmulatedServer(
+            server=BackendServer(
+                id=f"{service}-{index}",
+                service=service,
+                address="",
+                zone=f"z{(shard + index) % len(pattern.zones)}",
+                slots=slots,
+            ),
+            clock=clock,
+            pauses=PeriodicPauses(
+                interval_s=pattern.pause_interval_s,
+                duration_s=pattern.pause_s,
+                offset_s=random.random() * pattern.pause_interval_s,
+            ),
+            phases=pattern.faults(shard, index),
+            random=Random(random.random()),
+            queue_limit=pattern.queue_limit,
+            speed=pattern.speeds[(shard // len(pattern.zones) + index) % len(pattern.speeds)],
+            other_work=pattern.other_work,
+        )
+
+    servers = {
         f"s{shard}": [
-            EmulatedServer(
-                server=BackendServer(
-                    id=f"s{shard}-{index}",
-                    service=f"s{shard}",
-                    address="",
-                    zone=f"z{(shard + index) % len(pattern.zones)}",
-                    slots=pattern.slots,
-                ),
-                clock=clock,
-                pauses=PeriodicPauses(
-                    interval_s=pattern.pause_interval_s,
-                    duration_s=pattern.pause_s,
-                    offset_s=random.random() * pattern.pause_interval_s,
-                ),
-                phases=pattern.faults(shard, index),
-                random=Random(random.random()),
-                queue_limit=pattern.queue_limit,
-            )
-            for index in range(pattern.server_zones)
+            build(f"s{shard}", shard, index, pattern.slots) for index in range(pattern.server_zones)
         ]
         for shard in range(pattern.shards)
     }
+    if pattern.single_replicas:
+        servers[SINGLE_SERVICE] = [
+            build(SINGLE_SERVICE, pattern.shards, index, pattern.single_slots)
+            for index in range(pattern.single_replicas)
+        ]
+    for replicas in servers.values():
+        for server in replicas:
+            server.replicas = replicas
+    return servers
+
 
+def run_pattern(pattern: Pattern, *, seed: int, ranking: str = "product") -> RunResult:
+    """Run a pattern and return its result; equal seeds give equal results.
 
-def run_pattern(pattern: Pattern, *, seed: int) -> RunResult:
-    """Run a pattern and return its result; equal seeds give equal results."""
+    Parameters
+    ----------
+    ranking : str
+        Name of the ranking of replicas that all hosts use, in ``RANKINGS``.
+    """
     random = Random(seed)
     clock = VirtualClock()
     servers = build_servers(pattern, clock=clock, random=random)
@@ -252,12 +280,15 @@
         host_count=sum(pattern.zones),
         send_cpu_s=pattern.send_cpu_s,
         reply_cpu_s=pattern.reply_cpu_s,
+        cross_zone_delay_s=pattern.cross_zone_delay_s,
         retry_allowance=pattern.retry_allowance,
         connection_limit=(
             float("inf")
             if pattern.connection_cap is None
             else connection_limit(pattern.connection_cap, sum(pattern.zones))
         ),
+        servers_state_load=pattern.servers_state_load,
+        ranking=RANKINGS[ranking],
     )
     service_times = {kind.name: (kind.service_time_s, kind.sigma) for kind in pattern.kinds}
     hosts = [
@@ -279,7 +310,9 @@
     ]
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
-    schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
+    schedule_slowness_gossip(
+        clock, hosts, ages_s=pattern.knowledge_age_s, until_s=pattern.duration_s
+    )
     if pattern.connection_cap is not None:
         limit_connections(hosts, servers, connection_cap=pattern.connection_cap)
     schedule_cold_servers(
@@ -304,22 +337,40 @@
     clock.run()
     clock.close()
     result.arrived_attempts = sum(
-        server.arrival_count for shard_servers in servers.values() for server in shard_servers
+        server.load.arrived for shard_servers in servers.values() for server in shard_servers
     )
     all_servers = [one for shard_servers in servers.values() for one in shard_servers]
     result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
     result.connection_resets = sum(one.connection_reset_count for one in all_servers)
     result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
+    result.loads = summarize_loads(servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
     result.new_connections = sum(host.new_connections for host in hosts)
     return result
 
 
+def summarize_loads(servers: dict[str, list[EmulatedServer]]) -> dict[str, LoadSummary]:
+    """Return the load of the shards and, if there is one, of the service without shards."""
+    loads = {service: [server.load for server in group] for service, group in servers.items()}
+    single = loads.pop(SINGLE_SERVICE, None)
+    summaries = {"shards": LoadSummary(loads.values())}
+    return summaries | ({SINGLE_SERVICE: LoadSummary([single])} if single else {})
+
+
 def schedule_slowness_gossip(
-    clock: VirtualClock, hosts: Sequence[EmulatedHost], *, until_s: float
+    clock: VirtualClock,
+    hosts: Sequence[EmulatedHost],
+    *,
+    ages_s: tuple[float, float],
+    until_s: float,
 ) -> None:
-    """Schedule the gossip about slow servers between hosts, with the delay of a large fleet."""
+    """Schedule the gossip about slow servers between hosts.
+
+    Reports reach a host after a delay between the two in ``ages_s``; it grows evenly from the first
+    host to the last, as with the hops in a large fleet.
+    """
+    least_s, greatest_s = ages_s
 
     def publish() -> None:
         slowness_reports = SlownessReports()
@@ -327,16 +378,17 @@
             slowness_reports.merge(
                 first_hand_reports(host.server_states(), now=clock.now), now=clock.now
             )
-        clock.call_at(clock.now + REPORT_DELAY_S, lambda: apply_reports(slowness_reports))
+        for number, host in enumerate(hosts):
+            delay_s = least_s + (greatest_s - least_s) * number / len(hosts)
+            clock.call_at(clock.now + delay_s, partial(apply_reports, host, slowness_reports))
         if clock.now < until_s:
             clock.call_at(clock.now + REPORT_INTERVAL_S, publish)
 
-    def apply_reports(slowness_reports: SlownessReports) -> None:
+    def apply_reports(host: EmulatedHost, slowness_reports: SlownessReports) -> None:
         reports = {report.server: report for report in slowness_reports.unexpired(now=clock.now)}
-        for host in hosts if reports else ():
-            for state in host.server_states():
-                if state.server.id in reports:
-                    apply_report(state, reports[state.server.id], now=clock.now)
+        for state in host.server_states() if reports else ():
+            if state.server.id in reports:
+                apply_report(state, reports[state.server.id], now=clock.now)
 
     clock.call_at(REPORT_INTERVAL_S, publish)
 
@@ -362,7 +414,7 @@
 
     def count(sign: int) -> None:
         result.evacuated_attempts += sign * sum(
-            server.arrival_count
+            server.load.arrived
             for shard_servers in servers.values()
             for server in shard_servers
             if server.server.zone == evacuation.zone
@@ -403,7 +455,7 @@
         for results in by_kind:
             results[kind.name].record(
                 kind,
-                len(route.shards),
+                max(1, len(route.shards)),
                 answer,
                 clock.now - attempt_at,
                 refused_after_s=refused_after_s,
@@ -429,7 +481,7 @@
     )
     answer = host.answer(request, route)
     clock.sleep(CALLER_DELAY_S)
-    result.first_attempts += len(route.shards)
+    result.first_attempts += max(1, len(route.shards))
     return answer
 
 
--- a/src/rhubarbway_emulator/hosts.py
+++ b/src/rhubarbway_emulator/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 from rhubarbway.decisions.answer_margin import AnswerMargin
@@ -12,6 +12,7 @@
     FanOutHost,
     choose_delegates,
 )
+from rhubarbway.decisions.replica_ranking import best_replica
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.sliding_window_budget import SlidingWindowBudget
 from rhubarbway.model import (
@@ -22,6 +23,7 @@
     ForwardedRequest,
     ReplicaReply,
     Route,
+    StatedLoad,
 )
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.forwarding_context import ForwardingContext
@@ -42,6 +44,9 @@
 CONNECT_CPU_S = 0.0005
 
 
+ChooseReplica = Callable[..., "EmulatedPool | None"]
+
+
 class HostConfig:
     """Parameters that all emulated hosts of a run share.
 
@@ -60,16 +65,22 @@
     retry_ratio, retry_allowance : float
         Limits of the extra attempts to a service in each window of the retry budget: a share of
         the requests, plus a number over all hosts.
+    servers_state_load : bool
+        Whether servers state their load in their replies.
+    ranking : callable
+        Returns the function by which the host of a name chooses replicas.
     """
 
     __slots__ = (
         "connection_limit",
         "cross_zone_delay_s",
         "host_count",
+        "ranking",
         "reply_cpu_s",
         "retry_allowance",
         "retry_ratio",
         "send_cpu_s",
+        "servers_state_load",
     )
 
     def __init__(
@@ -82,8 +93,12 @@
         retry_ratio: float = 0.2,
         retry_allowance: float = 58.0,
         connection_limit: float = float("inf"),
+        servers_state_load: bool = False,
+        ranking: Callable[[str], ChooseReplica] = lambda host_name: best_replica,
     ) -> None:
         self.connection_limit = connection_limit
+        self.ranking = ranking
+        self.servers_state_load = servers_state_load
         self.host_count = host_count
         self.send_cpu_s = send_cpu_s
         self.reply_cpu_s = reply_cpu_s
@@ -213,7 +228,7 @@
     ``abort``.
     """
 
-    __slots__ = ("attempt", "ended", "job", "pool", "quiet_s")
+    __slots__ = ("attempt", "ended", "job", "load", "pool", "quiet_s")
 
     def __init__(self, *, pool: EmulatedPool, attempt: ServerAttempt) -> None:
         self.pool = pool
@@ -221,6 +236,8 @@
         self.ended = False
         # Time without requests that the server's reply asks for, seconds.
         self.quiet_s = 0.0
+        # Load that the server states in its reply.
+        self.load: StatedLoad | None = None
         service_time_s = pool.host.sample_service_time_s(attempt.route_name)
         self.job = Job(service_time_s=service_time_s, on_end=self.send_reply)
         attempt.connection = self  # type: ignore[assignment]
@@ -275,6 +292,8 @@
     def schedule_end(self, end: ExchangeEnd, ran: ExecutionStatus) -> None:
         """Schedule the end of the exchange for when the host has read the reply."""
         host = self.pool.host
+        if host.config.servers_state_load and end is not ExchangeEnd.LOST:
+            self.load = self.pool.emulated_server.stated_load()
         arrives_at = host.clock.now + self.one_way_delay_s()
         host.clock.call_at(
             arrives_at,
@@ -301,6 +320,8 @@
         if end in (ExchangeEnd.ANSWERED, ExchangeEnd.REFUSED):
             self.pool.release_connection()
             self.pool.apply_notice(self.quiet_s)
+            if self.load is not None:
+                self.pool.state.record_load(self.load, self.pool.host.clock.now)
         host = self.pool.host
         now = host.clock.now
         outcome = ExchangeOutcome(
@@ -435,6 +456,7 @@
             expect=require,
             log=NullLog(),
             clock=clock.time,
+            choose_replica=config.ranking(name),  # type: ignore[arg-type]
         )
 
     def begin_evacuation(self, zone: str) -> None:
@@ -500,7 +522,9 @@
         return answer
 
     def choose_delegate(self, route: Route) -> EmulatedHost | None:
-        """Return the host to which a fan-out is delegated, or None if it runs here."""
+        """Return the host to which a fan-out is delegated, or None if the request runs here."""
+        if not route.shards:
+            return None
         if route.name not in self.delegates:
             self.delegates[route.name] = self.find_delegates(route)
         delegates = self.delegates[route.name]
