--- a/src/rhubarbway/services/tests/test_invariants.py
+++ b/src/rhubarbway/services/tests/test_invariants.py
@@ -6,6 +6,7 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits, ForwardedAnswer, RoutingTable
 from rhubarbway.services import request_forwarder
+from rhubarbway.services.arrival_checks import ArrivalPlan
 from rhubarbway.services.invariants import BrokenInvariant, InvariantService
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.names import INVARIANTS, METRICS, ROUTING
@@ -100,7 +101,8 @@
         """Guards against a check that misses an attempt beyond the maximum of the route."""
         pools = {"board": pools_of("board", loses, answers)}
         scenario = Scenario(route=route_of(max_attempts=2), pools=pools)
-        scenario.forwarder.send_first_attempts()
+        plan = ArrivalPlan(chosen={"board": pools["board"][0]})
+        scenario.forwarder.send_first_attempts(plan)
         scenario.forwarder.route = route_of(max_attempts=1)
         (shard,) = scenario.forwarder.shards.values()
         with pytest.raises(BrokenInvariant, match="too_many_attempts"):
