--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -184,11 +184,14 @@
     }
 
 
-def run_pattern(pattern: Pattern, *, seed: int) -> RunResult:
-    """Run a pattern and return its result; equal seeds give equal results."""
-    random = Random(seed)
-    clock = VirtualClock()
-    servers = build_servers(pattern, clock=clock, random=random)
+def build_hosts(
+    pattern: Pattern,
+    *,
+    clock: VirtualClock,
+    servers: Mapping[str, list[EmulatedServer]],
+    random: Random,
+) -> list[EmulatedHost]:
+    """Return the hosts of all zones, each of which knows the others."""
     config = HostConfig(
         host_count=sum(pattern.zones),
         send_cpu_s=pattern.send_cpu_s,
@@ -215,6 +218,15 @@
     ]
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
+    return hosts
+
+
+def run_pattern(pattern: Pattern, *, seed: int) -> RunResult:
+    """Run a pattern and return its result; equal seeds give equal results."""
+    random = Random(seed)
+    clock = VirtualClock()
+    servers = build_servers(pattern, clock=clock, random=random)
+    hosts = build_hosts(pattern, clock=clock, servers=servers, random=random)
     schedule_slowness_gossip(clock, hosts, until_s=pattern.duration_s)
     result = RunResult(kinds=pattern.kinds)
     if pattern.evacuation is not None:
