--- a/src/rhubarbway/cli/app.py
+++ b/src/rhubarbway/cli/app.py
@@ -126,7 +126,10 @@
 
 @app.command()
 def status(
-    address: Annotated[str, typer.Argument(help="IP:PORT of an entry host.")],
+    address: Annotated[
+        str,
+        typer.Argument(help="IP:PORT of an entry host; of a gateway, the address of its metrics."),
+    ],
 ) -> None:
     """Print the status of an entry host; exit code 1 if it is not ready or sends no valid reply."""
     connection = HttpConnection(address=address)
