--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -265,17 +265,15 @@
     return servers
 
 
-def run_pattern(pattern: Pattern, *, seed: int, ranking: str = "product") -> RunResult:
-    """Run a pattern and return its result; equal seeds give equal results.
-
-    Parameters
-    ----------
-    ranking : str
-        Name of the ranking of replicas that all hosts use, in ``RANKINGS``.
-    """
-    random = Random(seed)
-    clock = VirtualClock()
-    servers = build_servers(pattern, clock=clock, random=random)
+def build_hosts(
+    pattern: Pattern,
+    *,
+    clock: VirtualClock,
+    servers: Mapping[str, list[EmulatedServer]],
+    random: Random,
+    ranking: str,
+) -> list[EmulatedHost]:
+    """Return the hosts of all zones, each of which knows the others."""
     config = HostConfig(
         host_count=sum(pattern.zones),
         send_cpu_s=pattern.send_cpu_s,
@@ -310,6 +308,21 @@
     ]
     for host in hosts:
         host.fellow_hosts = {other.name: other for other in hosts if other is not host}
+    return hosts
+
+
+def run_pattern(pattern: Pattern, *, seed: int, ranking: str = "product") -> RunResult:
+    """Run a pattern and return its result; equal seeds give equal results.
+
+    Parameters
+    ----------
+    ranking : str
+        Name of the ranking of replicas that all hosts use, in ``RANKINGS``.
+    """
+    random = Random(seed)
+    clock = VirtualClock()
+    servers = build_servers(pattern, clock=clock, random=random)
+    hosts = build_hosts(pattern, clock=clock, servers=servers, random=random, ranking=ranking)
     schedule_slowness_gossip(
         clock, hosts, ages_s=pattern.knowledge_age_s, until_s=pattern.duration_s
     )
