Show in a gauge which servers a host uses by the subsets

Change: rhubarbway_subset_servers{access}, set at each scrape like the gauge of cold servers. Measured: the test of the exposition.

--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -160,6 +160,7 @@
     servers.cold_attempt_listeners.append(metrics.shared_servers.count_cold_attempt)
     servers.reset_listeners.append(metrics.shared_servers.count_reset)
     metrics.shared_servers.count_cold_servers = servers.cold_server_count
+    metrics.shared_servers.count_access = servers.sharing.count_access
     ip_address = settings.listen.rpartition(":")[0]
     kernel.register(
         METRICS_ENDPOINT, MetricsEndpoint(listen=f"{ip_address}:{settings.metrics_port}")
--- a/src/rhubarbway/services/server_sharing.py
+++ b/src/rhubarbway/services/server_sharing.py
@@ -134,5 +134,6 @@
 
     def count_access(self) -> dict[str, int]:
         """Return the number of servers by access, of the services with a subset."""
-        accesses = [access for _, by_id in self.access.values() for access in by_id.values()]
+        known = list(self.access.values())
+        accesses = [access for _, by_id in known for access in by_id.values()]
         return {access.value: accesses.count(access) for access in ServerAccess}
--- a/src/rhubarbway/services/shared_server_metrics.py
+++ b/src/rhubarbway/services/shared_server_metrics.py
@@ -8,20 +8,24 @@
 
 
 class SharedServerMetrics:
-    """Counters and a gauge; ``queue_observation`` hands their updates to the task of the metrics.
+    """Counters and gauges; ``queue_observation`` hands their updates to the task of the metrics.
 
     Attributes
     ----------
     count_cold_servers : callable
         Returns the number of cold servers with a limit; called at each scrape.
+    count_access : callable
+        Returns the number of servers by access, of the services with subsets; called likewise.
     """
 
     __slots__ = (
         "cold_attempts",
         "cold_servers",
+        "count_access",
         "count_cold_servers",
         "queue_observation",
         "reset_connections",
+        "server_access",
     )
 
     def __init__(
@@ -29,6 +33,12 @@
     ) -> None:
         self.queue_observation = queue_observation
         self.count_cold_servers: Callable[[], int] = lambda: 0
+        self.count_access: Callable[[], dict[str, int]] = dict
+        self.server_access = Gauge(
+            "rhubarbway_subset_servers",
+            "Servers of services with connection subsets, by access (used, reserve, none).",
+            registry=registry,
+        )
         self.cold_servers = Gauge(
             "rhubarbway_cold_servers",
             "Cold servers in use whose service limits the requests to them.",
@@ -46,9 +56,15 @@
         )
 
     def observe_scrape(self) -> None:
-        """Set the gauge, for a scrape that follows."""
-        count = self.count_cold_servers()
-        self.queue_observation(lambda: self.cold_servers.set({}, count))
+        """Set the gauges, for a scrape that follows."""
+        count, access = self.count_cold_servers(), self.count_access()
+
+        def set_gauges() -> None:
+            self.cold_servers.set({}, count)
+            for name, servers in access.items():
+                self.server_access.set({"access": name}, servers)
+
+        self.queue_observation(set_gauges)
 
     def count_cold_attempt(self, *, service: str, result: str) -> None:
         """Count an attempt at a cold server."""
--- a/src/rhubarbway/services/tests/test_metrics.py
+++ b/src/rhubarbway/services/tests/test_metrics.py
@@ -60,3 +60,17 @@
         for _ in range(5):
             service.count_refusal(kind="bad_request")
         assert len(service.pending_observations) == 3
+
+
+class TestSharedServers:
+    def test_a_scrape_has_the_numbers_of_its_own_instant(self, metrics):
+        """Guards against gauges that show how many servers were cold at an earlier change."""
+        metrics.shared_servers.count_cold_servers = lambda: 3
+        metrics.shared_servers.count_access = lambda: {"used": 5, "none": 2}
+        metrics.shared_servers.count_cold_attempt(service="desk", result="withheld")
+        metrics.shared_servers.count_reset(service="desk")
+        text = metrics.exposition().decode()
+        assert "rhubarbway_cold_servers 3" in text
+        assert 'rhubarbway_subset_servers{access="used"} 5' in text
+        assert 'rhubarbway_cold_server_attempts_total{result="withheld",service="desk"} 1' in text
+        assert 'rhubarbway_new_connections_reset_total{service="desk"} 1' in text
