Split the codec of servers out of the pool, and shorten what had grown

Change: services.server_codec holds the codec; handling of failed calls, server counts of an emulated run and the services of a stand-in's configuration became functions of their own. No change of behaviour.

--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -60,7 +60,7 @@
 )
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
-from rhubarbway.services.server_pool import ServerCodec
+from rhubarbway.services.server_codec import ServerCodec
 from rhubarbway.services.servers import ServerService
 from rhubarbway.services.settings_reload import SettingsReload
 from rhubarbway.services.unexpected_data import unexpected_data_reporter
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -48,7 +48,8 @@
 from rhubarbway.services.route_latencies import RouteLatencies
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.server_attempt import ServerAttempt
-from rhubarbway.services.server_pool import ServerCodec, ServerPool
+from rhubarbway.services.server_codec import ServerCodec
+from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.servers import ServerService
 
 # Name of the "service" that delegates form, in outcomes and metrics.
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -18,7 +18,6 @@
 )
 from rhubarbway.edge.http_client import (
     CallError,
-    Reply,
     UnexpectedDataListener,
     ignore_unexpected_data,
 )
@@ -28,13 +27,13 @@
     ExchangeEnd,
     ExchangeOutcome,
     ExecutionStatus,
-    ForwardedRequest,
     ReplicaReply,
     ServerNotice,
 )
 from rhubarbway.services.connection_tasks import ConnectionTasks
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.server_attempt import ServerAttempt
+from rhubarbway.services.server_codec import ServerCodec
 
 # Time limit for opening a connection, seconds. A connection opens within milliseconds, unless its
 # first packet is lost, which TCP resends only after a second.
@@ -47,9 +46,6 @@
 # within this time, seconds.
 RESTART_NOTICE_S = 5.0
 
-EncodeRequest = Callable[..., list[str]]
-DecodeReply = Callable[[Reply, ForwardedRequest], ReplicaReply | None]
-DecodeNotice = Callable[[Reply], ServerNotice | None]
 ReportColdAttempt = Callable[..., None]
 
 
@@ -57,42 +53,10 @@
     """Do nothing: nobody counts the attempts at cold servers."""
 
 
-def no_notice(reply: Reply) -> ServerNotice | None:
-    """Return None: the wire format has no notices."""
-    return None
-
-
 def ignore_reset(server: BackendServer) -> None:
     """Do nothing: nobody counts the resets of new connections."""
 
 
-class ServerCodec:
-    """Encoder of requests to servers and decoder of their replies.
-
-    Attributes
-    ----------
-    encode : callable
-        Returns the header lines of a request: ``encode(request, server, remaining_s=...)``.
-    decode : callable
-        Returns the decoded reply, or None if it belongs to another request.
-    decode_notice : callable
-        Returns what the server states about itself in a reply to a request, or None if nothing.
-    """
-
-    __slots__ = ("decode", "decode_notice", "encode")
-
-    def __init__(
-        self,
-        *,
-        encode: EncodeRequest,
-        decode: DecodeReply,
-        decode_notice: DecodeNotice = no_notice,
-    ) -> None:
-        self.encode = encode
-        self.decode = decode
-        self.decode_notice = decode_notice
-
-
 class ServerConnection:
     """One connection, the inbox of its task, and the instant until which it can be reused."""
 
@@ -421,10 +385,7 @@
             )
         except CallError as error:
             connection.reusable_until = float("inf")
-            if is_new and isinstance(error, ResetCallError):
-                self.report_reset(self.server)
-            if isinstance(error, RefusedCallError) and self.state.cold_limit.is_limited():
-                self.set_cold_for(RESTART_NOTICE_S)
+            self.record_call_error(error, is_new=is_new)
             return self.outcome_of_error(attempt, error)
         finally:
             attempt.connection = None
@@ -456,6 +417,13 @@
             self.report_cold_attempt(self.server, is_sent=accepts)
         return accepts
 
+    def record_call_error(self, error: CallError, *, is_new: bool) -> None:
+        """Report a reset of a new connection; treat a server that refuses one as cold."""
+        if is_new and isinstance(error, ResetCallError):
+            self.report_reset(self.server)
+        if isinstance(error, RefusedCallError) and self.state.cold_limit.is_limited():
+            self.set_cold_for(RESTART_NOTICE_S)
+
     def outcome_of_reply(self, attempt: ServerAttempt, reply: ReplicaReply) -> ExchangeOutcome:
         """Return the outcome of a call that got a complete reply."""
         if reply.misdirected:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -29,7 +29,8 @@
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING
 from rhubarbway.services.server_attempt import ServerAttempt
-from rhubarbway.services.server_pool import ServerCodec, ServerPool
+from rhubarbway.services.server_codec import ServerCodec
+from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.server_sharing import ServerSharing
 
 # Connection limit for each server of a service whose connection cap is not known yet.
@@ -116,14 +117,13 @@
         warm_up_overshoot: float = 1.0,
         warm_up_slack: float = 0.0,
     ) -> None:
+        own = FanOutHost(address=address, zone=zone, cores=cores)
         self.sharing = ServerSharing(
-            own=FanOutHost(address=address, zone=zone, cores=cores),
-            warm_up_overshoot=warm_up_overshoot,
-            warm_up_slack=warm_up_slack,
+            own=own, warm_up_overshoot=warm_up_overshoot, warm_up_slack=warm_up_slack
         )
-        # Called with service and result (sent, withheld) of each attempt at a cold server.
+        # Called with service and result (sent, withheld) of each attempt at a cold server, and with
+        # the service of a server that has reset a new connection.
         self.cold_attempt_listeners: list[ColdAttemptListener] = []
-        # Called with the service of a server that has reset a new connection.
         self.reset_listeners: list[ResetListener] = []
         self.cores = cores
         self.codec = codec
--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -121,6 +121,13 @@
         # Attempts that reached a server against its own notice.
         self.unwanted_attempts = 0
 
+    def record_servers(self, servers: Sequence[EmulatedServer]) -> None:
+        """Record what the servers have counted."""
+        self.arrived_attempts = sum(one.arrival_count for one in servers)
+        self.busiest_cold_second = max(busiest_cold_second(one) for one in servers)
+        self.connection_resets = sum(one.connection_reset_count for one in servers)
+        self.cold_crashes = sum(one.cold_crash_count for one in servers)
+
     @property
     def mean_value(self) -> float:
         """Mean value of a request over all kinds."""
@@ -228,13 +235,7 @@
             clock.spawn_at(at, task)
     clock.run()
     clock.close()
-    result.arrived_attempts = sum(
-        server.arrival_count for shard_servers in servers.values() for server in shard_servers
-    )
-    all_servers = [one for shard_servers in servers.values() for one in shard_servers]
-    result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
-    result.connection_resets = sum(one.connection_reset_count for one in all_servers)
-    result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
+    result.record_servers([one for shard_servers in servers.values() for one in shard_servers])
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
     result.new_connections = sum(host.new_connections for host in hosts)
--- a/src/rhubarbway_standins/platform/site.py
+++ b/src/rhubarbway_standins/platform/site.py
@@ -127,18 +127,19 @@
                 common | single_route,
                 common | booking_route,
             ],
-            "services": [
-                {
-                    "name": name,
-                    "healthPath": "/health",
-                    "maxConnections": 30,
-                    "warmupPerS": self.warm_up_rate,
-                }
-                for name in services
-            ],
+            "services": [self.service_document(name) for name in services],
             "limits": HTTP_LIMITS,
         }
 
+    def service_document(self, name: str) -> dict[str, Any]:
+        """Return a service of the configuration."""
+        return {
+            "name": name,
+            "healthPath": "/health",
+            "maxConnections": 30,
+            "warmupPerS": self.warm_up_rate,
+        }
+
     def publish(self, document: dict[str, Any]) -> None:
         """Write a configuration to the store."""
         self.store.put("op/config", encode_json(document))
