--- a/src/rhubarbway_emulator/experiment.py
+++ b/src/rhubarbway_emulator/experiment.py
@@ -181,6 +181,13 @@
         self.unwanted_attempts = 0
         self.evacuated_attempts = 0
 
+    def record_servers(self, servers: Sequence[EmulatedServer]) -> None:
+        """Record what the servers have counted."""
+        self.arrived_attempts = sum(one.load.arrived for one in servers)
+        self.busiest_cold_second = max(busiest_cold_second(one) for one in servers)
+        self.connection_resets = sum(one.connection_reset_count for one in servers)
+        self.cold_crashes = sum(one.cold_crash_count for one in servers)
+
     @property
     def mean_value(self) -> float:
         """Mean value of a request over all kinds."""
@@ -349,13 +356,7 @@
             clock.spawn_at(at, task)
     clock.run()
     clock.close()
-    result.arrived_attempts = sum(
-        server.load.arrived for shard_servers in servers.values() for server in shard_servers
-    )
-    all_servers = [one for shard_servers in servers.values() for one in shard_servers]
-    result.busiest_cold_second = max(busiest_cold_second(one) for one in all_servers)
-    result.connection_resets = sum(one.connection_reset_count for one in all_servers)
-    result.cold_crashes = sum(one.cold_crash_count for one in all_servers)
+    result.record_servers([one for shard_servers in servers.values() for one in shard_servers])
     result.loads = summarize_loads(servers)
     result.cross_zone_attempts = sum(host.cross_zone_attempts for host in hosts)
     result.unwanted_attempts = sum(host.unwanted_attempts for host in hosts)
