Show with failing tests that callers outside the limits exceed a host's memory

A gateway with 112 MB and 500 descriptors faces small crowds: 64 callers that read nothing of answers of 2 MB, 64 that pipeline eight such requests, 32 searches with parts of 2 MB, 96 bodies of 1 MB that never end, and 400 heads or connections that stay idle. The checks are that the process lives, its peak memory, its descriptors, and one ordinary answer.

--- a/src/rhubarbway_standins/platform/gateways.py
+++ b/src/rhubarbway_standins/platform/gateways.py
@@ -30,6 +30,8 @@
         Processor of each gateway that its settings state; one core for the others.
     leave_notice_s, grace_s : float
         The settings of these names, seconds.
+    memory_mb, max_descriptors : float, int
+        The settings of these names; 0 for no limit.
     """
 
     __slots__ = ("directory", "processes", "settings", "site")
@@ -43,6 +45,8 @@
         cores: Sequence[float] = (),
         leave_notice_s: float = 0.3,
         grace_s: float = 4.0,
+        memory_mb: float = 0.0,
+        max_descriptors: int = 0,
     ) -> None:
         self.site = site
         self.directory = directory
@@ -54,6 +58,8 @@
             settings = site.settings(f"gateway-{number}", zone=zone, seeds=seeds)
             settings.leave_notice_s = leave_notice_s
             settings.grace_s = grace_s
+            settings.memory_mb = memory_mb
+            settings.max_descriptors = max_descriptors
             settings.log_level = "info"
             settings.cpu_speed = cores[number] if number < len(cores) else 1.0
             self.settings.append(settings)
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -62,6 +62,8 @@
         Whether each admitted request is answered with 504 when its deadline passes.
     leaving : bool
         Whether each response announces that the replica leaves.
+    padding_bytes : callable
+        Returns how many bytes a reply has beyond its records, for the target of its request.
     quiet_s : str or None
         If set, requests are refused with this ``Retry-After``.
     service_time_s : float
@@ -80,6 +82,7 @@
         "leaving",
         "lock",
         "on_arrival",
+        "padding_bytes",
         "quiet_s",
         "server",
         "server_id",
@@ -112,6 +115,7 @@
         self.leaving = False
         self.holds_until_deadline = False
         self.quiet_s: str | None = None
+        self.padding_bytes: Callable[[str], int] = lambda target: 0
         self.fault: Callable[[socket.socket, bytes], bool] | None = None
         self.unpaused = threading.Event()
         self.unpaused.set()
@@ -202,7 +206,8 @@
         finally:
             with self.lock:
                 self.admitted -= 1
-        body = encoded_records(self.service, request.full_path.rstrip("?"))
+        target = request.full_path.rstrip("?")
+        body = encoded_records(self.service, target) + bytes(self.padding_bytes(target))
         response = Response(body, content_type="application/octet-stream")
         response.headers["X-Request-Id"] = request_id
         response.headers["X-Server-Stamp"] = reply_signature(self.service, request_id, body)
