Bound what a gateway holds for callers by its memory and descriptors

Cause: nothing limited the bytes that a gateway held for others. An answer was kept twice while its caller read nothing for 10 s, replies and bodies were read without a bound, 512 callers were accepted whatever the memory, and each freed body of megabytes stayed in the heap.

Change: HostLimits derives a byte budget and the numbers of connections from memory_mb and max_descriptors. Requests charge bodies and replies before they are read, and wait up to 0.25 s while slow connections are closed; a reply without memory ends as UNREAD, which does not count against its server, and a body is refused with 503. An answer is sent without a copy and is broken off when its caller takes nothing for 10 s or less than 16 KB/s after 10 s; before, it was broken off after 10 s in any case. Under pressure connections below 32 KB/s end after 2 s, and idle connections and unfinished requests give up their places. Large searches are merged without a list of all records.

--- a/src/rhubarbway/decisions/records.py
+++ b/src/rhubarbway/decisions/records.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable, Iterator
 
 RECORD_BYTES = 16
+# A list of records has four times the size of their bodies, but is faster than an iterator.
+MAX_LISTED_BYTES = 256 * 1024
 
 
 def split_records(body: bytes) -> Iterator[bytes]:
@@ -22,5 +24,8 @@
     >>> greatest_records([b"a" * 16 + b"c" * 16, b"b" * 16 + b"rest"], 2) == b"c" * 16 + b"b" * 16
     True
     """
-    records = [record for body in bodies for record in split_records(body)]
+    parts = list(bodies)
+    records: Iterable[bytes] = (record for body in parts for record in split_records(body))
+    if sum(map(len, parts)) <= MAX_LISTED_BYTES:
+        records = list(records)
     return b"".join(heapq.nlargest(limit, records))
--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -15,7 +15,9 @@
 from collections.abc import Sequence
 
 from rhubarbway.edge.addresses import format_address, parse_address
+from rhubarbway.edge.byte_account import UNCOUNTED, UNCOUNTED_BYTES, Account
 from rhubarbway.edge.http_client import (
+    REPLY_LIMIT_BYTES,
     CallError,
     Reply,
     UnexpectedDataListener,
@@ -36,6 +38,10 @@
 EXPECT_HEADER = "Expect: 100-continue"
 
 
+class NoMemoryError(Exception):
+    """Raised when this host has no memory for a reply that a server sends."""
+
+
 class SilentPeerError(TimeoutError):
     """Raised when the head of a request is not acknowledged in time."""
 
@@ -141,6 +147,7 @@
         connect_timeout_s: float | None = None,
         acknowledgement_timeout_s: float | None = None,
         call_number: int | None = None,
+        account: Account = UNCOUNTED,
     ) -> Reply:
         """Send one request and return the complete response.
 
@@ -166,8 +173,14 @@
                 self.send_acknowledged(
                     sock, head, body, reader=reader, timeout_s=acknowledgement_timeout_s
                 )
-            self.read_response(sock, reader)
-        except (OSError, RequestError, ResponseError, UnicodeEncodeError) as error:
+            self.read_response(sock, reader, account)
+        except (
+            OSError,
+            NoMemoryError,
+            RequestError,
+            ResponseError,
+            UnicodeEncodeError,
+        ) as error:
             raise self.disconnect_with_error(error) from None
         if not reader.reusable or reader.request_incomplete:
             self.disconnect()
@@ -184,6 +197,7 @@
             connecting=not self.sent,
             timed_out=isinstance(error, TimeoutError),
             silent=isinstance(error, SilentPeerError),
+            unread=isinstance(error, NoMemoryError),
             malformed=isinstance(error, ResponseError)
             and not isinstance(error, TruncatedResponseError),
         )
@@ -273,16 +287,32 @@
             return
         self.send(sock, body)
 
-    def read_response(self, sock: socket.socket, reader: ResponseReader) -> None:
+    def read_response(self, sock: socket.socket, reader: ResponseReader, account: Account) -> None:
         """Read the response to the request that was sent, into ``reader``.
 
         Raises
         ------
         OSError, ResponseError
             If no complete response arrives before the deadline.
+        NoMemoryError
+            If the account does not grant its bytes before the deadline.
         """
-        while not reader.complete:
-            reader.feed(self.receive(sock))
+        reader.feed(self.receive(sock))
+        if reader.complete and len(reader.body) <= UNCOUNTED_BYTES:
+            return
+        reserved = kept = 0
+        try:
+            while not reader.complete or not reserved:
+                wanted = wanted_bytes(reader)
+                if wanted > reserved:
+                    if not account.read(wanted - reserved, deadline=self.deadline):
+                        raise NoMemoryError("this host has no memory for the reply")
+                    reserved = wanted
+                if not reader.complete:
+                    reader.feed(self.receive(sock))
+            kept = len(reader.body)
+        finally:
+            account.end_read(reserved, kept=kept)
 
     def receive(self, sock: socket.socket) -> bytes:
         """Return the next bytes, or empty bytes if the server has closed the connection."""
@@ -332,6 +362,17 @@
             sock.close()
 
 
+def wanted_bytes(reader: ResponseReader) -> int:
+    """Return the bytes to reserve for a response before more of it is read.
+
+    The buffer of a body is larger than the body by up to an eighth.
+    """
+    stated = next((value for name, value in reader.headers if name.lower() == "content-length"), "")
+    least = len(reader.body) + RECEIVE_BYTES
+    length = int(stated) if stated.isascii() and stated.isdigit() and len(stated) < 10 else 0
+    return min(max(length, least), REPLY_LIMIT_BYTES + RECEIVE_BYTES) * 9 // 8
+
+
 def request_bytes(method: str, target: str, headers: Sequence[str], body: bytes) -> bytes:
     """Encode a request; ``headers`` are header lines, to which the content length is added.
 
--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -103,6 +103,8 @@
     silent : bool
         True if the head of the request was not acknowledged in time, so that the rest was not
         sent. Only an ``ExchangeConnection`` that asks for an acknowledgement sets it.
+    unread : bool
+        True if this host had no memory to read the response, which is no fault of the server.
     """
 
     def __init__(
@@ -114,6 +116,7 @@
         timed_out: bool,
         malformed: bool = False,
         silent: bool = False,
+        unread: bool = False,
     ) -> None:
         super().__init__(detail)
         self.sent = sent
@@ -121,6 +124,7 @@
         self.timed_out = timed_out
         self.malformed = malformed
         self.silent = silent
+        self.unread = unread
 
 
 def suppressed_headers(headers: Sequence[str]) -> list[str]:
--- a/src/rhubarbway/edge/http_messages.py
+++ b/src/rhubarbway/edge/http_messages.py
@@ -10,6 +10,8 @@
 
 from rhubarbway.model import CallerLimits
 
+# Bodies from this size on are sent without copying them behind their head.
+LONG_BODY_BYTES = 16 * 1024
 # Sent in place of an answer that has no valid encoding. The request may have run, and 502 promises
 # nothing to the caller.
 UNSENDABLE_REPLY = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -19,6 +21,10 @@
     """Raised when a request body exceeds the size limit."""
 
 
+class BodyRefused(Exception):
+    """Raised when the host has no memory for a request body."""
+
+
 class RequestTooSlow(Exception):
     """Raised when a request is not complete within the time limit."""
 
@@ -52,10 +58,15 @@
         raise RequestTooLarge(f"the body exceeds {limits.max_body_bytes} bytes")
 
 
+def stated_length(head: h11.Request) -> int:
+    """Return the length of the body that a checked head states; 0 for none."""
+    return int(dict(head.headers).get(b"content-length", b"0"))
+
+
 def encode_response(
     connection: h11.Connection, response: Response, *, body: bytes, keep_alive: bool
-) -> bytes:
-    """Return the bytes of a response.
+) -> list[bytes]:
+    """Return the bytes of a response, a long body as a piece of its own to save a copy.
 
     Header values are opaque bytes that are read and written as Latin-1 text; those outside ASCII
     (``obs-text``) are passed on as they are.
@@ -76,8 +87,11 @@
     if not keep_alive:
         headers.append((b"Connection", b"close"))
     data = connection.send(h11.Response(status_code=response.status_code, headers=headers))
-    data += connection.send(h11.Data(data=body)) if body else b""
-    return data + connection.send(h11.EndOfMessage())
+    encoded_body = connection.send(h11.Data(data=body)) if body else b""
+    end = connection.send(h11.EndOfMessage())
+    if len(encoded_body) < LONG_BODY_BYTES:
+        return [data + encoded_body + end]
+    return [data, encoded_body, end] if end else [data, encoded_body]
 
 
 def wsgi_environ(head: h11.Request, body: bytes, peer: str) -> dict[str, Any]:
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import select
 import selectors
 import socket
-import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -19,23 +17,38 @@
 import h11
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.edge.byte_account import UNCOUNTED_BYTES
+from rhubarbway.edge.connection_places import ConnectionPlaces, shutdown_socket
+from rhubarbway.edge.connection_state import (
+    NO_RULES,
+    ConnectionCut,
+    ConnectionRules,
+    ConnectionState,
+    SlowReader,
+)
 from rhubarbway.edge.http_messages import (
     UNSENDABLE_REPLY,
+    BodyRefused,
     RequestTooLarge,
     RequestTooSlow,
     check_head,
     encode_response,
+    stated_length,
     wsgi_environ,
 )
-from rhubarbway.edge.sent_bytes import ReportMismatch, SentBytes, ignore_mismatch
-from rhubarbway.model import CallerLimits
+from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
+from rhubarbway.model import CallerLimits, ConnectionPhase
 
 HEADER_LIMIT_BYTES = 16 * 1024
 BODY_LIMIT_BYTES = 1024 * 1024
-RECEIVE_BYTES = 64 * 1024
+# Also bounds what a connection holds of requests that its caller has sent ahead.
+RECEIVE_BYTES = 16 * 1024
+# The kernel doubles it. Holds more than a link of 100 Mbit/s carries in a round trip of 10 ms.
+SEND_BUFFER_BYTES = 128 * 1024
 IDLE_TIMEOUT_S = 75.0
 # Limits the time for a body, and by default for a head, as a whole and not per read, so that a peer
-# that sends slowly cannot occupy a connection task for long. Sending a response has the same limit.
+# that sends slowly cannot occupy a connection task for long. While a response is sent, it limits
+# the time in which the peer takes nothing.
 REQUEST_TIMEOUT_S = 10.0
 # Time for which the rest of a refused request is read (lingering close). Closing a socket with
 # unread data resets the connection, and the peer may then lose the reply.
@@ -44,6 +57,8 @@
 # Time for which an idle connection stays open after the server has begun to stop, so that a request
 # that is already on its way is still answered.
 STOP_IDLE_TIMEOUT_S = 0.25
+# Time for which a request body waits for memory, seconds.
+BODY_WAIT_S = 0.25
 # Delay after a failed accept, for example when the process has run out of file descriptors.
 ACCEPT_RETRY_DELAY_S = 0.1
 
@@ -57,6 +72,8 @@
 # Key of the ``h11.Request`` in the WSGI environment, for a handler that forwards requests as they
 # are.
 HEAD_KEY = "rhubarbway.head"
+# Key of the account of the request's bytes in the WSGI environment.
+ACCOUNT_KEY = "rhubarbway.account"
 # Key of the connection's socket in the WSGI environment, for a handler that watches whether the
 # caller disconnects.
 SOCKET_KEY = "rhubarbway.socket"
@@ -73,26 +90,6 @@
     logging.getLogger(__name__).error("Connection of %s failed.", peer, exc_info=error)
 
 
-class ConnectionState:
-    """The state of one accepted connection.
-
-    ``busy`` is true from the first byte of a request to the end of its reply. ``poll`` waits for
-    data on the socket and for the stop signal of the server. ``sent`` counts the bytes that the
-    task of the connection has sent.
-    """
-
-    __slots__ = ("busy", "peer", "poll", "sent", "sock")
-
-    def __init__(self, *, sock: socket.socket, peer: str, stop_signal: socket.socket) -> None:
-        self.sock = sock
-        self.peer = peer
-        self.busy = False
-        self.sent = SentBytes()
-        self.poll = select.poll()
-        self.poll.register(sock, select.POLLIN)
-        self.poll.register(stop_signal, select.POLLIN)
-
-
 class HttpServer:
     """Accepts connections and serves each of them in its own task.
 
@@ -107,7 +104,8 @@
         Maps a status code and a detail to the response to a request that is refused before the
         handler is called. The response may have another status.
     max_connections : int
-        Connections served concurrently; further ones are answered with 503 and closed.
+        Connections served concurrently. A further one takes the place of one that the rules allow
+        to close, or is answered with 503 and closed.
     name : str
         Prefix of the thread names.
     limits : callable
@@ -118,6 +116,8 @@
     report_failure : callable
         Called with each exception that is no end of the connection and no fault of the caller: of
         the handler, or of the encoding of an answer, in place of which the caller gets 502.
+    rules : ConnectionRules
+        Decide which connections are closed, and count the bytes held for requests.
     """
 
     __slots__ = (
@@ -133,8 +133,10 @@
         "listener",
         "lock",
         "max_connections",
+        "places",
         "report_failure",
         "report_mismatch",
+        "rules",
         "stop_signal",
         "stop_trigger",
         "stopping",
@@ -151,19 +153,24 @@
         limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
         report_mismatch: ReportMismatch = ignore_mismatch,
         report_failure: FailureReport = log_failure,
+        rules: ConnectionRules = NO_RULES,
     ) -> None:
         self.limits = limits
+        self.rules = rules
         self.report_failure = report_failure
         self.report_mismatch = report_mismatch
         self.handler = handler
         self.error_handler = error_handler
         self.max_connections = max_connections
+        self.places = ConnectionPlaces(limit=max_connections, rules=rules)
         self.listener = socket.create_server(address, backlog=512)
+        # Accepted sockets inherit it. Without a bound the kernel holds megabytes for each caller.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.address: tuple[str, int] = self.listener.getsockname()[:2]
         self.executor = ThreadPoolExecutor(max_connections + 1, thread_name_prefix=name)
-        self.connections: set[ConnectionState] = set()
-        self.lock = threading.Lock()
-        self.connection_ended = threading.Condition(self.lock)
+        self.connections = self.places.connections
+        self.lock = self.places.lock
+        self.connection_ended = self.places.connection_ended
         self.accept_task: Future[None] | None = None
         self.keep_alive_disabled = False
         self.stopping = False
@@ -201,11 +208,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(REQUEST_TIMEOUT_S)
         state = ConnectionState(sock=sock, peer=peer[0], stop_signal=self.stop_signal)
-        with self.lock:
-            at_limit = len(self.connections) >= self.max_connections
-            if not at_limit:
-                self.connections.add(state)
-        if at_limit:
+        if not self.places.add(state, may_wait=not self.stopping):
             self.refuse_connection(state)
             return
         try:
@@ -216,6 +219,10 @@
                 self.connection_ended.notify_all()
             sock.close()
 
+    def relieve(self) -> float:
+        """Close a connection that holds bytes; return when the next one may be closed."""
+        return self.places.relieve()
+
     def refuse_connection(self, state: ConnectionState) -> None:
         """Send a 503 reply without reading the request, and close the connection.
 
@@ -244,12 +251,19 @@
             while self.serve_request(state, connection):
                 connection.start_next_cycle()
                 state.busy = False
+                state.caller.enter(ConnectionPhase.IDLE, time.monotonic())
+        except SlowReader:
+            self.rules.report(state.peer, ConnectionPhase.SENDING, "slow")
+            state.caller.cut = True
         except (OSError, h11.RemoteProtocolError):
             pass
         except Exception as error:
             self.report_failure(state.peer, error)
         finally:
             state.sent.compare(state.sock, state.peer, self.report_mismatch)
+            state.account.close()
+            if state.caller.cut and state.caller.phase is ConnectionPhase.SENDING:
+                state.reset()
             with self.lock:
                 # Under the lock, since ``stop`` shuts the sockets of the connections down: after
                 # the close, the number of the descriptor may belong to another socket.
@@ -259,6 +273,9 @@
 
     def serve_request(self, state: ConnectionState, connection: h11.Connection) -> bool:
         """Read and answer one request; return whether the connection stays open."""
+        state.account.close()
+        state.account = self.rules.open_account()
+        state.caller.holds_bytes = False
         try:
             head, body = self.read_request(state, connection)
         except h11.RemoteProtocolError as error:
@@ -267,11 +284,18 @@
             return self.refuse_request(state, connection, 413, str(error))
         except RequestTooSlow as error:
             return self.refuse_request(state, connection, 408, str(error))
+        except BodyRefused as error:
+            return self.refuse_request(state, connection, 503, str(error))
         if head is None:
             return False
+        with self.lock:
+            if state.caller.cut:
+                raise ConnectionCut("closed to make room")
+            state.caller.enter(ConnectionPhase.HANDLING, time.monotonic())
         environ = wsgi_environ(head, body, state.peer)
         environ[SOCKET_KEY] = state.sock
         environ[HEAD_KEY] = head
+        environ[ACCOUNT_KEY] = state.account
         response = self.handler(Request(environ))
         if head.method == b"HEAD":
             response.headers["Content-Length"] = str(len(response.get_data()))
@@ -311,7 +335,7 @@
         """Return head and body of the next request; the head is None if the connection ended."""
         head: h11.Request | None = None
         chunks: list[bytes] = []
-        size = 0
+        size = held = 0
         limits = self.limits()
         deadline = time.monotonic() + limits.idle_timeout_s
         while True:
@@ -330,16 +354,33 @@
                 state.busy = True
                 deadline = time.monotonic() + REQUEST_TIMEOUT_S
                 check_head(head, limits)
+                held = self.hold_body(state, stated_length(head), held)
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > limits.max_body_bytes:
                     raise RequestTooLarge(f"the body exceeds {limits.max_body_bytes} bytes")
+                held = self.hold_body(state, size, held)
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return head, b"".join(chunks)
             else:
                 return None, b""
 
+    def hold_body(self, state: ConnectionState, size: int, held: int) -> int:
+        """Count a body of ``size`` bytes of which ``held`` are counted; return the new count.
+
+        Raises
+        ------
+        BodyRefused
+            If there is no memory for it.
+        """
+        if size <= max(held, UNCOUNTED_BYTES):
+            return held
+        state.caller.holds_bytes = True
+        if not state.account.hold(size - held, deadline=time.monotonic() + BODY_WAIT_S):
+            raise BodyRefused("no memory for the body")
+        return size
+
     def receive(self, state: ConnectionState, deadline: float) -> bytes:
         """Return the next bytes of a connection, or empty bytes if it has ended.
 
@@ -361,8 +402,12 @@
             socket_poll = select.poll()
             socket_poll.register(state.sock, select.POLLIN)
             ready = socket_poll.poll(STOP_IDLE_TIMEOUT_S * 1000)
+        if state.caller.cut:
+            raise ConnectionCut("closed to make room")
         if ready:
-            return state.sock.recv(RECEIVE_BYTES)
+            data = state.sock.recv(RECEIVE_BYTES)
+            state.note_received()
+            return data
         if state.busy:
             raise RequestTooSlow("the request was not complete in time")
         return b""
@@ -373,19 +418,23 @@
         """Send a response and return whether the connection stays open."""
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return False
-        keep_alive = not self.keep_alive_disabled and connection.their_state in (
-            h11.DONE,
-            h11.SEND_BODY,
+        keep_alive = (
+            not self.keep_alive_disabled
+            and not self.places.are_taken
+            and connection.their_state in (h11.DONE, h11.SEND_BODY)
         )
         try:
-            data = encode_response(connection, response, body=body, keep_alive=keep_alive)
+            pieces = encode_response(connection, response, body=body, keep_alive=keep_alive)
         except (h11.LocalProtocolError, UnicodeError) as error:
             self.report_failure(state.peer, error)
-            data, keep_alive = UNSENDABLE_REPLY, False
+            pieces, keep_alive = [UNSENDABLE_REPLY], False
         # A caller that has read foreign bytes may have closed the connection. The response then
         # resets it, and a connection that was reset has no count.
         state.sent.compare(state.sock, state.peer, self.report_mismatch)
-        state.sent.send_all(state.sock, data)
+        if len(body) > UNCOUNTED_BYTES:
+            state.caller.holds_bytes = True
+        state.account.settle(len(body) if len(body) > UNCOUNTED_BYTES else 0)
+        state.send(pieces, self.rules)
         return keep_alive and connection.our_state is h11.DONE
 
     def disable_keep_alive(self) -> None:
@@ -438,9 +487,3 @@
         self.stop_trigger.close()
         self.stop_signal.close()
         return cut
-
-
-def shutdown_socket(sock: socket.socket) -> None:
-    """Shut the socket down in both directions, which wakes any thread that waits on it."""
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -152,10 +152,12 @@
         self.complete = True
 
     def reply(self) -> Reply:
-        """Return the response; ``complete`` must be true."""
+        """Return the response and forget its body; ``complete`` must be true."""
+        body = bytes(self.body)
+        self.body.clear()
         return Reply(
             status=self.status,
-            body=bytes(self.body),
+            body=body,
             headers=tuple(self.headers),
             request_incomplete=self.request_incomplete,
         )
--- a/src/rhubarbway/edge/sent_bytes.py
+++ b/src/rhubarbway/edge/sent_bytes.py
@@ -26,6 +26,13 @@
 # ``report(peer, sent, counted)`` is called with the bytes that were sent and those counted.
 ReportMismatch = Callable[[str, int, int], None]
 
+# ``on_progress(count)`` is called with the bytes that were sent after a wait.
+Progress = Callable[[int], None]
+
+
+def ignore_progress(count: int) -> None:
+    """Do nothing: the sender has no rule on the rate."""
+
 
 def ignore_mismatch(peer: str, sent: int, counted: int) -> None:
     """Do nothing: the owner of the connection has no log."""
@@ -84,18 +91,39 @@
         self.count = HANDSHAKE_BYTES if connected else 0
         self.exact = True
 
-    def send_all(self, sock: socket.socket, data: bytes) -> None:
+    def send_all(
+        self, sock: socket.socket, *pieces: bytes, on_progress: Progress = ignore_progress
+    ) -> None:
         """Send all bytes and count them.
 
+        The time limit of the socket applies to each piece that the peer takes, not to the whole.
+
+        Parameters
+        ----------
+        pieces : bytes
+            Sent one after the other, by one system call if the socket's buffer has room.
+        on_progress : callable
+            Called with the number of bytes that the buffer has taken whenever the peer makes room,
+            so not for bytes that it takes at once. May raise an ``OSError`` to end the sending.
+
         Raises
         ------
         OSError
             If the connection has ended or the time limit of the socket has passed.
         """
-        self.exact, was_exact = False, self.exact
-        sock.sendall(data)
-        self.exact = was_exact
-        self.count += len(data)
+        count = sock.send(pieces[0]) if len(pieces) == 1 else sock.sendmsg(pieces)
+        self.count += count
+        for piece in pieces:
+            if count >= len(piece):
+                count -= len(piece)
+                continue
+            rest = memoryview(piece)[count:]
+            count = 0
+            while rest:
+                taken = sock.send(rest)
+                self.count += taken
+                on_progress(taken)
+                rest = rest[taken:]
 
     def compare(self, sock: socket.socket, peer: str, report: ReportMismatch) -> None:
         """Report a connection that carries more bytes than were sent on it.
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -18,6 +18,7 @@
 from returns.result import Result, Success
 
 from rhubarbway.decisions.fleet_view import DEFAULT_HOST_COUNT
+from rhubarbway.decisions.host_limits import HostLimits
 from rhubarbway.decisions.sliding_window_budget import SlidingWindowBudget
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import Finding
@@ -33,10 +34,12 @@
     request_header_lines,
 )
 from rhubarbway.platform.store import StoreClient
+from rhubarbway.services.caller_memory import CallerMemoryService
 from rhubarbway.services.connection_failures import failure_reporter
+from rhubarbway.services.connection_tasks import MAX_CONNECTION_TASKS
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.delegation import DelegationService, DelegationWire
-from rhubarbway.services.fleet import FleetService
+from rhubarbway.services.fleet import MAX_PEER_CONNECTIONS, FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.gateway import GatewayService
 from rhubarbway.services.invariants import InvariantService, mismatch_reporter
@@ -44,6 +47,7 @@
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.metrics_endpoint import MetricsEndpoint
 from rhubarbway.services.names import (
+    CALLER_MEMORY,
     CRASHING_REQUESTS,
     DELEGATION,
     FLEET,
@@ -58,6 +62,7 @@
     SERVERS,
     SETTINGS,
 )
+from rhubarbway.services.process_memory import free_large_buffers_at_once
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
 from rhubarbway.services.server_pool import ServerCodec
@@ -102,6 +107,14 @@
     kernel = Kernel()
     kernel.register(LOG, LogService(level=settings.log_level))
     metrics = kernel.register(METRICS, MetricsService())
+    limits = HostLimits(
+        memory_mb=settings.memory_mb,
+        max_descriptors=settings.max_descriptors,
+        max_callers=settings.max_connections,
+        max_peers=MAX_PEER_CONNECTIONS,
+        max_servers=MAX_CONNECTION_TASKS,
+    )
+    memory = kernel.register(CALLER_MEMORY, CallerMemoryService(limit=limits.budget_bytes))
     report_unexpected_data = unexpected_data_reporter(metrics)
     expect = kernel.register(INVARIANTS, InvariantService()).expect
     kernel.register(CRASHING_REQUESTS, CrashingRequestService())
@@ -116,6 +129,7 @@
             zone=settings.zone,
             preconnects=not settings.first_start,
             cores=settings.cores,
+            max_connections=limits.servers,
         ),
     )
     servers.tasks.report_mismatch = mismatch_reporter(expect, side="server")
@@ -145,6 +159,8 @@
     fleet.report_unexpected_data = report_unexpected_data
     fleet.report_mismatch = mismatch_reporter(expect, side="host")
     count_failure = metrics.count_connection_failure
+    fleet.max_connections = limits.peers
+    fleet.rules = memory.rules(side="host")
     fleet.report_failure = failure_reporter(count_failure, side="host")
     kernel.register(FLEET, fleet)
     kernel.register(DELEGATION, DelegationService(cores=settings.cores, wire=DELEGATION_WIRE))
@@ -164,7 +180,7 @@
             ready_listen=settings.ready_listen,
             notice_s=settings.leave_notice_s,
             grace_s=settings.grace_s,
-            max_connections=settings.max_connections,
+            max_connections=limits.callers,
             decode=request_from_http,
             encode=response_to_http,
             report_mismatch=mismatch_reporter(expect, side="caller"),
@@ -193,6 +209,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, *RELOAD_SIGNALS))
     settings = result.unwrap()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    free_large_buffers_at_once()
     kernel = build_kernel(settings)
     kernel.register(SETTINGS, SettingsReload(path=path, in_force=settings))
     try:
--- a/src/rhubarbway/model/__init__.py
+++ b/src/rhubarbway/model/__init__.py
@@ -2,6 +2,7 @@
 
 from rhubarbway.model.answer import Answer, Coverage, MissingShard, MissReason, ShardAnswer
 from rhubarbway.model.backend_server import BackendServer
+from rhubarbway.model.caller_connection import CallerConnection, ConnectionPhase, Shortage
 from rhubarbway.model.failure import ExecutionStatus, Failure, FailureKind
 from rhubarbway.model.finding import Finding
 from rhubarbway.model.forwarding import (
@@ -39,8 +40,10 @@
     "AttemptId",
     "AttemptOutcome",
     "BackendServer",
+    "CallerConnection",
     "CallerLimits",
     "CanaryMode",
+    "ConnectionPhase",
     "Coverage",
     "EntryHost",
     "ExchangeEnd",
@@ -73,6 +76,7 @@
     "Service",
     "Shard",
     "ShardAnswer",
+    "Shortage",
     "SplitPart",
     "StoreItem",
     "SubQuery",
--- a/src/rhubarbway/model/forwarding.py
+++ b/src/rhubarbway/model/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Any
 
 from rhubarbway.model.failure import ExecutionStatus
 
@@ -28,9 +29,13 @@
         ``time.monotonic()`` instant at which the request was read.
     deadline : float
         ``time.monotonic()`` instant at which the caller gives up.
+    account : object
+        Account of the bytes held for the request, for the connections that read replies to it; None
+        if nobody counts them.
     """
 
     __slots__ = (
+        "account",
         "body",
         "deadline",
         "headers",
@@ -54,6 +59,7 @@
         received_at: float,
         deadline: float,
     ) -> None:
+        self.account: Any = None
         self.request_id = request_id
         self.method = method
         self.target = target
@@ -146,7 +152,8 @@
     valid reply or exceed a limit, else ``LOST``. ``CANCELLED`` includes an attempt whose deadline
     passed before it was sent. An attempt is ``WITHDRAWN`` if it was not sent because the server has
     announced that it leaves or wants no requests for a time, and ``SILENT`` if a host to which a
-    fan-out was delegated did not acknowledge it in time.
+    fan-out was delegated did not acknowledge it in time. ``UNREAD`` is a reply that this host had
+    no memory for, which says nothing about the server.
     """
 
     ANSWERED = "answered"
@@ -161,6 +168,7 @@
     SILENT = "silent"
     CANCELLED = "cancelled"
     WITHDRAWN = "withdrawn"
+    UNREAD = "unread"
 
 
 # Ends after which it is certain that the request reached no server of the service.
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -25,7 +25,7 @@
 )
 from rhubarbway.decisions.forward_answers import failed_answer
 from rhubarbway.decisions.server_state import ranked_states
-from rhubarbway.edge.http_server import HEAD_KEY, SOCKET_KEY
+from rhubarbway.edge.http_server import ACCOUNT_KEY, HEAD_KEY, SOCKET_KEY
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import (
     BackendServer,
@@ -251,6 +251,7 @@
             received_at=request.received_at,
             deadline=request.deadline,
         )
+        delegated.account = request.account
         attempt = ServerAttempt(
             number=self.next_attempt_number(),
             request=delegated,
@@ -427,6 +428,7 @@
                 ForwardedAnswer(status=503, detail=problem), request_id=forwarded.request_id
             )
         forwarded.body = forwarded.body[len(START_MARK) :]
+        forwarded.account = request.environ[ACCOUNT_KEY]
         with self.lock:
             self.running += 1
         try:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -22,6 +22,7 @@
 from rhubarbway.decisions.fleet_view import FleetMember, FleetView
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.addresses import parse_address
+from rhubarbway.edge.connection_state import NO_RULES
 from rhubarbway.edge.http_client import CallError, HttpConnection
 from rhubarbway.edge.http_server import (
     BODY_LIMIT_BYTES,
@@ -103,6 +104,7 @@
         "listen",
         "lock",
         "log",
+        "max_connections",
         "random",
         "read_store_at",
         "registry",
@@ -110,6 +112,7 @@
         "request_numbers",
         "report_mismatch",
         "report_unexpected_data",
+        "rules",
         "seeds",
         "sent_to_followed_at",
         "sent_to_follower",
@@ -129,6 +132,8 @@
         cores: float = 0.0,
     ) -> None:
         self.listen = listen
+        self.max_connections = MAX_PEER_CONNECTIONS
+        self.rules = NO_RULES
         self.seeds: list[str] = []
         now = time.monotonic()
         own = FleetMember(
@@ -186,11 +191,12 @@
             address=parse_address(self.listen),
             handler=self.dispatch,
             error_handler=lambda status, detail: Response(detail, status=status),
-            max_connections=MAX_PEER_CONNECTIONS,
+            max_connections=self.max_connections,
             name="peers",
             limits=lambda: PEER_LIMITS,
             report_mismatch=self.report_mismatch,
             report_failure=self.report_failure,
+            rules=self.rules,
         )
         self.server.start()
         for slot in range(MAX_FOLLOWED_HOSTS):
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -15,6 +15,7 @@
 from rhubarbway.decisions.late_requests import answer_deadline, fits_before_cut
 from rhubarbway.edge.addresses import parse_address
 from rhubarbway.edge.http_server import (
+    ACCOUNT_KEY,
     DEFAULT_LIMITS,
     HEAD_KEY,
     SOCKET_KEY,
@@ -29,7 +30,14 @@
 from rhubarbway.services.fleet import FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.log import component_logger
-from rhubarbway.services.names import DELEGATION, FLEET, FORWARDING, REGISTRY, ROUTING
+from rhubarbway.services.names import (
+    CALLER_MEMORY,
+    DELEGATION,
+    FLEET,
+    FORWARDING,
+    REGISTRY,
+    ROUTING,
+)
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.routing import RoutingService
 
@@ -132,6 +140,7 @@
         self.fleet = kernel.find(FLEET)
         self.registry = kernel.find(REGISTRY)
         self.routing = kernel.find(ROUTING)
+        memory = kernel.find(CALLER_MEMORY)
         self.server = HttpServer(
             address=parse_address(self.listen),
             handler=self.respond,
@@ -141,7 +150,9 @@
             limits=self.limits,
             report_mismatch=self.report_mismatch,
             report_failure=self.report_failure,
+            rules=memory.rules(side="caller"),
         )
+        memory.watch(self.server)
         self.ready_server = HttpServer(
             address=parse_address(self.ready_listen),
             handler=self.respond_ready,
@@ -149,6 +160,7 @@
             max_connections=MAX_READY_CONNECTIONS,
             name="ready",
             report_failure=self.report_ready_failure,
+            rules=memory.rules(side="load_balancer"),
         )
         self.ready_server.start()
         self.server.start()
@@ -192,6 +204,7 @@
         if not isinstance(result, Success):
             return self.respond_to_bad_request(400, result.failure())
         forwarded = result.unwrap()
+        forwarded.account = request.environ[ACCOUNT_KEY]
         try:
             answer = self.refuse_late(forwarded) or self.delegation.answer(
                 forwarded, sock=request.environ[SOCKET_KEY]
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -37,6 +37,7 @@
         "attempt_counter",
         "broken_invariants",
         "condition",
+        "closed_connections",
         "connection_failures",
         "copy_confirmed",
         "delegated_requests",
@@ -57,6 +58,7 @@
         "query_coverage",
         "query_failures",
         "query_latency",
+        "refused_bytes",
         "registry",
         "stopping",
         "unexpected_data",
@@ -129,6 +131,16 @@
             "Connections ended or answers replaced by an exception, by side and kind.",
             registry=self.registry,
         )
+        self.closed_connections = Counter(
+            "rhubarbway_closed_connections_total",
+            "Connections closed by a bound on callers, by side, phase and reason.",
+            registry=self.registry,
+        )
+        self.refused_bytes = Counter(
+            "rhubarbway_refused_bytes_total",
+            "Bodies and replies for which this host had no memory, by kind (body, reply).",
+            registry=self.registry,
+        )
         self.unexpected_data = Counter(
             "rhubarbway_unexpected_data_total",
             "Connections given up because of data that answers no request, by their kind (side).",
@@ -267,6 +279,15 @@
         labels = {"side": side, "error": error}
         self.queue_observation(lambda: self.connection_failures.inc(labels))
 
+    def count_closed_connection(self, *, side: str, phase: str, reason: str) -> None:
+        """Count a connection that a bound on callers has closed."""
+        labels = {"side": side, "phase": phase, "reason": reason}
+        self.queue_observation(lambda: self.closed_connections.inc(labels))
+
+    def count_refused_bytes(self, kind: str) -> None:
+        """Count a body or a reply for which this host had no memory."""
+        self.queue_observation(lambda: self.refused_bytes.inc({"kind": kind}))
+
     def count_unexpected_data(self, *, side: str) -> None:
         """Count a connection that held data which answers no request."""
         self.queue_observation(lambda: self.unexpected_data.inc({"side": side}))
--- a/src/rhubarbway/services/metrics_endpoint.py
+++ b/src/rhubarbway/services/metrics_endpoint.py
@@ -12,7 +12,7 @@
 from rhubarbway.services.connection_failures import failure_reporter
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.metrics import MetricsService
-from rhubarbway.services.names import METRICS
+from rhubarbway.services.names import CALLER_MEMORY, METRICS
 
 PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4"
@@ -51,6 +51,7 @@
             report_failure=failure_reporter(
                 self.metrics.count_connection_failure, side="monitoring"
             ),
+            rules=kernel.find(CALLER_MEMORY).rules(side="monitoring"),
         )
         self.server.start()
 
--- a/src/rhubarbway/services/names.py
+++ b/src/rhubarbway/services/names.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from rhubarbway.services.backends import BackendService
+    from rhubarbway.services.caller_memory import CallerMemoryService
     from rhubarbway.services.crashes import CrashService
     from rhubarbway.services.crashing_requests import CrashingRequestService
     from rhubarbway.services.delegation import DelegationService
@@ -50,6 +51,7 @@
 GATEWAY: ServiceKey[GatewayService] = ServiceKey("gateway")
 DELEGATION: ServiceKey[DelegationService] = ServiceKey("delegation")
 FLEET: ServiceKey[FleetService] = ServiceKey("fleet")
+CALLER_MEMORY: ServiceKey[CallerMemoryService] = ServiceKey("caller_memory")
 METRICS_ENDPOINT: ServiceKey[MetricsEndpoint] = ServiceKey("metrics_endpoint")
 INVARIANTS: ServiceKey[InvariantService] = ServiceKey("invariants")
 # The key equals the component of the service's log lines, which operators search for.
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -11,6 +11,7 @@
 
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
+from rhubarbway.edge.byte_account import UNCOUNTED
 from rhubarbway.edge.exchange_connection import ExchangeConnection
 from rhubarbway.edge.http_client import (
     CallError,
@@ -373,6 +374,7 @@
                 connect_timeout_s=self.connect_timeout_s,
                 acknowledgement_timeout_s=self.acknowledgement_timeout_s,
                 call_number=attempt.call_number,
+                account=request.account or UNCOUNTED,
             )
         except CallError as error:
             connection.reusable_until = float("inf")
@@ -417,6 +419,8 @@
             end = ExchangeEnd.TIMED_OUT
         if error.silent:
             end = ExchangeEnd.SILENT
+        if error.unread:
+            end = ExchangeEnd.UNREAD
         if error.malformed:
             end = ExchangeEnd.MALFORMED
         if attempt.cancelled:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -23,7 +23,11 @@
     RoutingTable,
     ServerNotice,
 )
-from rhubarbway.services.connection_tasks import ConnectionTasks, connection_task_limit
+from rhubarbway.services.connection_tasks import (
+    MAX_CONNECTION_TASKS,
+    ConnectionTasks,
+    connection_task_limit,
+)
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING
 from rhubarbway.services.server_attempt import ServerAttempt
@@ -74,6 +78,8 @@
         table.
     cores : float
         Processor of this host in whole cores, which allows it more connections.
+    max_connections : int
+        Greatest number of connections to all servers that the descriptors of the host allow.
     """
 
     __slots__ = (
@@ -86,6 +92,7 @@
         "lock",
         "leaving_listeners",
         "log",
+        "max_connections",
         "notices",
         "observers",
         "pools",
@@ -105,8 +112,10 @@
         zone: str = "",
         preconnects: bool = False,
         cores: float = 0.0,
+        max_connections: int = MAX_CONNECTION_TASKS,
     ) -> None:
         self.cores = cores
+        self.max_connections = max_connections
         self.codec = codec
         self.zone = zone
         self.preconnects = preconnects
@@ -131,7 +140,8 @@
         # Recent reports about slow servers, of this host and of others.
         self.slowness_reports = SlownessReports()
         self.lock = threading.Lock()
-        self.tasks = ConnectionTasks(limit=connection_task_limit(DEFAULT_HOST_COUNT, cores=cores))
+        limit = min(connection_task_limit(DEFAULT_HOST_COUNT, cores=cores), max_connections)
+        self.tasks = ConnectionTasks(limit=limit)
         self.log = component_logger("servers")
 
     def start(self, kernel: Kernel) -> None:
@@ -161,7 +171,7 @@
         with self.lock:
             self.host_count = max(1, host_count)
             self.apply_limits()
-        limit = connection_task_limit(host_count, cores=self.cores)
+        limit = min(connection_task_limit(host_count, cores=self.cores), self.max_connections)
         self.tasks.set_limit(limit)
         self.log.info(
             "Number of entry hosts changed.", hosts=host_count, connection_task_limit=limit
