Hold the bounds on callers in the query daemon, and free replies of idle connections

Cause: the task of an idle server connection kept its last outcome, so every connection held one reply of up to 4 MB that nobody counted. Large searches were merged record by record in the interpreter, which delayed other tasks. rhubarbwayd had no bound at all.

Change: the task drops attempt and outcome before it waits. Long parts are merged by pieces. rhubarbwayd has the settings memory_mb and max_descriptors, the byte budget for bodies and answers, and the same places; its kept connections keep theirs for 5 s after an answer, since its callers cannot know whether a request that crosses the close has run.

--- a/proofs/frontend_ratio.py
+++ b/proofs/frontend_ratio.py
@@ -27,12 +27,14 @@
 from werkzeug.wrappers import Request, Response
 
 from rhubarbway.client import LoadPlan, run_load
+from rhubarbway.decisions.host_limits import UNSTATED_BUDGET_BYTES
 from rhubarbway.edge import wire
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import Answer, Coverage, HostIdentity, Query, ShardAnswer
+from rhubarbway.services.caller_memory import CallerMemoryService
 from rhubarbway.services.frontend import FrontendService
 from rhubarbway.services.metrics import MetricsService
-from rhubarbway.services.names import FRONTEND, MANIFEST, METRICS, QUERIES, TOKENS
+from rhubarbway.services.names import CALLER_MEMORY, FRONTEND, MANIFEST, METRICS, QUERIES, TOKENS
 from rhubarbway.settings import Settings
 
 # Performance goal: the lowest ratio of the frontend's rate to that of the bare app.
@@ -109,6 +111,7 @@
     )
     kernel = Kernel()
     kernel.register(METRICS, MetricsService())
+    kernel.register(CALLER_MEMORY, CallerMemoryService(limit=UNSTATED_BUDGET_BYTES))
     for key in (MANIFEST, QUERIES, TOKENS):
         kernel.register(key, FixedAnswerService())
     kernel.register(FRONTEND, FrontendService(settings=settings, identity=identity))
--- a/src/rhubarbway/daemon.py
+++ b/src/rhubarbway/daemon.py
@@ -17,9 +17,11 @@
 import typer
 from returns.result import Success
 
+from rhubarbway.decisions.host_limits import HostLimits
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import HostIdentity
 from rhubarbway.services.backends import BackendService
+from rhubarbway.services.caller_memory import CallerMemoryService
 from rhubarbway.services.crash_gossip import connect_crash_gossip
 from rhubarbway.services.crashes import CrashService
 from rhubarbway.services.drain_gossip import connect_drain_gossip
@@ -30,6 +32,7 @@
 from rhubarbway.services.metrics import MetricsService
 from rhubarbway.services.names import (
     BACKENDS,
+    CALLER_MEMORY,
     CRASHES,
     FRONTEND,
     LOG,
@@ -44,6 +47,7 @@
 )
 from rhubarbway.services.peers import PeerService
 from rhubarbway.services.platform import PlatformService
+from rhubarbway.services.process_memory import free_large_buffers_at_once
 from rhubarbway.services.queries import QueryService
 from rhubarbway.services.slices import SliceService
 from rhubarbway.services.tokens import TokenService
@@ -66,6 +70,14 @@
     kernel.register(LOG, LogService(level=settings.log_level))
     metrics = kernel.register(METRICS, MetricsService())
     report_unexpected_data = unexpected_data_reporter(metrics)
+    limits = HostLimits(
+        memory_mb=settings.memory_mb,
+        max_descriptors=settings.max_descriptors,
+        max_callers=settings.max_connections,
+        max_peers=0,
+        max_servers=0,
+    )
+    kernel.register(CALLER_MEMORY, CallerMemoryService(limit=limits.budget_bytes))
     kernel.register(
         MANIFEST, ManifestService(name=settings.name, check_floor=settings.version_floor == "peers")
     )
@@ -89,7 +101,8 @@
     platform.report_unexpected_data = report_unexpected_data
     kernel.register(PLATFORM, platform)
     connect_drain_gossip(backends, peers, platform)
-    kernel.register(FRONTEND, FrontendService(settings=settings, identity=identity))
+    frontend = kernel.register(FRONTEND, FrontendService(settings=settings, identity=identity))
+    frontend.max_connections = limits.callers
     return kernel
 
 
@@ -113,6 +126,7 @@
     # another thread, it would not wake the main thread, which runs the Python handlers. All threads
     # inherit this mask, so that only ``sigwait`` receives the signals.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    free_large_buffers_at_once()
     kernel = build_kernel(result.unwrap())
     kernel.start()
     signal.sigwait(STOP_SIGNALS)
--- a/src/rhubarbway/decisions/__init__.py
+++ b/src/rhubarbway/decisions/__init__.py
@@ -1,7 +1,7 @@
 """Decision logic over model classes; time is a parameter, codecs, sockets and HTTP are not used.
 
-The modules serve two kinds of entry hosts. ``config_readers``, ``latency`` and ``rendezvous`` serve
-both.
+The modules serve two kinds of entry hosts. ``byte_budget``, ``config_readers``, ``host_limits``,
+``latency``, ``rendezvous`` and ``slow_readers`` serve both.
 
 - Query hosts read a manifest from the configuration service and query the replicas of the shards of
   one service: ``admission``, ``concurrency_limit``, ``coverage``, ``crash_suspects``, ``draining``,
--- a/src/rhubarbway/decisions/records.py
+++ b/src/rhubarbway/decisions/records.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import heapq
+import struct
 from collections.abc import Iterable, Iterator
 
 RECORD_BYTES = 16
-# A list of records has four times the size of their bodies, but is faster than an iterator.
+# A list of records has four times the size of their bodies.
 MAX_LISTED_BYTES = 256 * 1024
+PIECE_RECORDS = 1024
 
 
 def split_records(body: bytes) -> Iterator[bytes]:
@@ -25,7 +27,24 @@
     True
     """
     parts = list(bodies)
-    records: Iterable[bytes] = (record for body in parts for record in split_records(body))
-    if sum(map(len, parts)) <= MAX_LISTED_BYTES:
-        records = list(records)
+    if sum(map(len, parts)) > MAX_LISTED_BYTES:
+        return b"".join(greatest_of_long(parts, limit))
+    records = [record for body in parts for record in split_records(body)]
     return b"".join(heapq.nlargest(limit, records))
+
+
+def greatest_of_long(bodies: Iterable[bytes], limit: int) -> list[bytes]:
+    """Return the same as ``greatest_records`` as a list, a piece of a body at a time.
+
+    Pieces whose greatest record is not greater than those found are skipped, so that most of the
+    time is spent outside the interpreter.
+    """
+    greatest: list[bytes] = []
+    for body in bodies:
+        count = len(body) // RECORD_BYTES
+        for first in range(0, count, PIECE_RECORDS):
+            size = min(PIECE_RECORDS, count - first)
+            records = struct.unpack_from(f"{RECORD_BYTES}s" * size, body, first * RECORD_BYTES)
+            if len(greatest) < limit or max(records) > greatest[-1]:
+                greatest = sorted([*greatest, *records], reverse=True)[:limit]
+    return greatest
--- a/src/rhubarbway/decisions/slow_readers.py
+++ b/src/rhubarbway/decisions/slow_readers.py
@@ -19,6 +19,9 @@
 # The time covers a lost packet, which TCP repeats after up to a second.
 PRESSURE_STALL_S = 2.0
 PRESSURE_RATE = 32 * 1024
+# Time for which a kept connection keeps its place after an answer where callers cannot know whether
+# a request that crossed the close has run, seconds.
+KEPT_IDLE_S = 5.0
 
 
 def reads_too_slowly(connection: CallerConnection, now: float) -> bool:
@@ -27,12 +30,15 @@
     return elapsed_s > STALL_LIMIT_S and connection.taken_bytes < elapsed_s * LEAST_RATE
 
 
-def spared_until(connection: CallerConnection, shortage: Shortage) -> float:
+def spared_until(
+    connection: CallerConnection, shortage: Shortage, *, kept_idle_s: float = 0.0
+) -> float:
     """Return the instant from which a connection may be closed for a shortage.
 
-    A connection without a request gives up its place at once, as does one whose request is not
-    complete. A body that the caller still sends keeps its bytes while it makes progress. A request
-    that a server may have is never given up.
+    A connection that never had a request gives up its place at once, as does one whose request is
+    not complete. A body that the caller still sends keeps its bytes while it makes progress. A
+    request that a server may have is never given up. ``kept_idle_s`` is the time for which a
+    connection keeps its place after an answer.
     """
     never = float("inf")
     if connection.cut or (shortage is Shortage.BYTES and not connection.holds_bytes):
@@ -43,7 +49,8 @@
     if connection.phase is ConnectionPhase.HANDLING:
         return never
     if shortage is Shortage.PLACES:
-        return connection.since
+        is_kept = connection.served and connection.phase is ConnectionPhase.IDLE
+        return connection.since + (kept_idle_s if is_kept else 0.0)
     return connection.progress_at + PRESSURE_STALL_S
 
 
@@ -57,14 +64,20 @@
 
 
 def choose_closed(
-    connections: Iterable[CallerConnection], shortage: Shortage, now: float
+    connections: Iterable[CallerConnection],
+    shortage: Shortage,
+    now: float,
+    *,
+    kept_idle_s: float = 0.0,
 ) -> CallerConnection | None:
     """Return the connection to close, or None if all are spared.
 
     Idle connections go before unfinished requests, and those before slow readers. Among equals the
     one goes whose caller has been inactive for longest; a reader counts by its rate.
     """
-    candidates = [one for one in connections if spared_until(one, shortage) <= now]
+    candidates = [
+        one for one in connections if spared_until(one, shortage, kept_idle_s=kept_idle_s) <= now
+    ]
     return min(
         candidates, key=lambda one: (PHASE_RANK[one.phase], inactivity_key(one, now)), default=None
     )
@@ -77,6 +90,9 @@
     return connection.since
 
 
-def next_closable_at(connections: Iterable[CallerConnection], shortage: Shortage) -> float:
+def next_closable_at(
+    connections: Iterable[CallerConnection], shortage: Shortage, *, kept_idle_s: float = 0.0
+) -> float:
     """Return the instant at which the first connection may be closed; infinity if none may."""
-    return min((spared_until(one, shortage) for one in connections), default=float("inf"))
+    instants = (spared_until(one, shortage, kept_idle_s=kept_idle_s) for one in connections)
+    return min(instants, default=float("inf"))
--- a/src/rhubarbway/edge/connection_places.py
+++ b/src/rhubarbway/edge/connection_places.py
@@ -54,8 +54,8 @@
 
     @property
     def are_taken(self) -> bool:
-        """Whether a new connection would find no place, so that others end after their reply."""
-        return len(self.connections) >= self.limit
+        """Whether new connections find no place, so that others end after their reply."""
+        return self.taken_since < float("inf")
 
     def add(self, state: ConnectionState, *, may_wait: bool) -> bool:
         """Give a place to a new connection; return whether there was one.
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -251,6 +251,7 @@
             while self.serve_request(state, connection):
                 connection.start_next_cycle()
                 state.busy = False
+                state.caller.served = True
                 state.caller.enter(ConnectionPhase.IDLE, time.monotonic())
         except SlowReader:
             self.rules.report(state.peer, ConnectionPhase.SENDING, "slow")
--- a/src/rhubarbway/model/caller_connection.py
+++ b/src/rhubarbway/model/caller_connection.py
@@ -43,9 +43,11 @@
         Whether a body or an answer of this connection counts against the byte budget.
     cut : bool
         Whether the host has decided to close the connection.
+    served : bool
+        Whether a request on the connection has been answered.
     """
 
-    __slots__ = ("cut", "holds_bytes", "phase", "progress_at", "since", "taken_bytes")
+    __slots__ = ("cut", "holds_bytes", "phase", "progress_at", "served", "since", "taken_bytes")
 
     def __init__(self, *, now: float) -> None:
         self.phase = ConnectionPhase.IDLE
@@ -54,6 +56,7 @@
         self.taken_bytes = 0
         self.holds_bytes = False
         self.cut = False
+        self.served = False
 
     def enter(self, phase: ConnectionPhase, now: float) -> None:
         """Begin a phase."""
--- a/src/rhubarbway/services/__init__.py
+++ b/src/rhubarbway/services/__init__.py
@@ -4,7 +4,8 @@
 ``edge``. A *task* is a function that runs in a thread of its own, from the executor of its service
 or, for a connection of a caller, from that of the HTTP server.
 
-``latency_tally``, ``log``, ``metrics`` and ``names`` serve both kinds of hosts.
+``caller_memory``, ``latency_tally``, ``log``, ``metrics``, ``names`` and ``process_memory`` serve
+both kinds of hosts.
 
 - Query hosts: ``backends``, ``crash_gossip``, ``crashes``, ``drain_gossip``,
   ``extra_attempt_limits``, ``fan_out``, ``frontend``, ``gossip_section``, ``host_survey``,
--- a/src/rhubarbway/services/caller_memory.py
+++ b/src/rhubarbway/services/caller_memory.py
@@ -165,11 +165,14 @@
         """Close slow connections of a server, too, when requests wait for bytes."""
         self.memory.reliefs.append(server.relieve)
 
-    def rules(self, *, side: str) -> ConnectionRules:
-        """Return the rules for a server whose peers are called ``side`` in log and metrics."""
+    def rules(self, *, side: str, kept_idle_s: float = 0.0) -> ConnectionRules:
+        """Return the rules for a server whose peers are called ``side`` in log and metrics.
+
+        Its connections keep their places for ``kept_idle_s`` seconds after an answer.
+        """
         return ConnectionRules(
-            choose_closed=choose_closed,
-            next_closable_at=next_closable_at,
+            choose_closed=partial(choose_closed, kept_idle_s=kept_idle_s),
+            next_closable_at=partial(next_closable_at, kept_idle_s=kept_idle_s),
             open_account=self.memory.open_account,
             reads_too_slowly=reads_too_slowly,
             report=partial(self.report_closed, side),
--- a/src/rhubarbway/services/frontend.py
+++ b/src/rhubarbway/services/frontend.py
@@ -11,6 +11,7 @@
 from werkzeug.routing import Map, MapAdapter, Rule
 from werkzeug.wrappers import Request, Response
 
+from rhubarbway.decisions.slow_readers import KEPT_IDLE_S
 from rhubarbway.edge import wire
 from rhubarbway.edge.http_server import HttpServer
 from rhubarbway.edge.json_codec import JsonError, decode_json, encode_json
@@ -22,7 +23,7 @@
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.manifest import ManifestService
 from rhubarbway.services.metrics import MetricsService
-from rhubarbway.services.names import BACKENDS, MANIFEST, METRICS, QUERIES, TOKENS
+from rhubarbway.services.names import BACKENDS, CALLER_MEMORY, MANIFEST, METRICS, QUERIES, TOKENS
 from rhubarbway.services.queries import QueryService
 from rhubarbway.settings import Settings
 
@@ -58,6 +59,7 @@
         "leaving",
         "log",
         "manifest",
+        "max_connections",
         "metrics",
         "queries",
         "routes",
@@ -69,6 +71,7 @@
 
     def __init__(self, *, settings: Settings, identity: HostIdentity) -> None:
         self.settings = settings
+        self.max_connections = settings.max_connections
         self.identity = identity
         self.leaving = threading.Event()
         self.log = component_logger("frontend")
@@ -102,15 +105,18 @@
         self.metrics = kernel.find(METRICS)
         self.queries = kernel.find(QUERIES)
         self.tokens = kernel.find(TOKENS)
+        memory = kernel.find(CALLER_MEMORY)
         host, _, port = self.settings.listen.rpartition(":")
         self.server = HttpServer(
             address=(host, int(port)),
             handler=self.respond,
             error_handler=self.respond_to_bad_request,
-            max_connections=self.settings.max_connections,
+            max_connections=self.max_connections,
             name="frontend",
             report_failure=failure_reporter(self.metrics.count_connection_failure, side="caller"),
+            rules=memory.rules(side="caller", kept_idle_s=KEPT_IDLE_S),
         )
+        memory.watch(self.server)
         self.server.start()
         self.log.info("Listening.", address=self.settings.listen)
 
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -292,7 +292,10 @@
                 next_attempt = self.take_queued_or_become_idle(connection)
             self.observe(attempt, outcome)
             attempt.deliver(outcome)
+            # An idle task must not keep the last request and its reply, which may have megabytes.
+            del attempt, outcome
             attempt = next_attempt or connection.inbox.get()
+            del next_attempt
         with self.lock:
             self.connection_count -= 1
         connection.http.disconnect()
--- a/src/rhubarbway/settings/settings.py
+++ b/src/rhubarbway/settings/settings.py
@@ -39,6 +39,10 @@
         ``debug``, ``info``, ``warning`` or ``error``.
     max_connections : int
         Maximum number of concurrent connections of callers.
+    memory_mb : float
+        Memory that the process may use, megabytes of 2**20 bytes; 0 if it is not limited.
+    max_descriptors : int
+        File descriptors that the process may use; 0 if they are not limited.
     leave_notice_s : float
         Time between reporting not ready and closing the listener, seconds.
     """
@@ -52,6 +56,8 @@
         "listen",
         "log_level",
         "max_connections",
+        "max_descriptors",
+        "memory_mb",
         "name",
         "version_floor",
         "zone",
@@ -68,6 +74,8 @@
         host_list: str,
         log_level: str = "info",
         max_connections: int = 512,
+        memory_mb: float = 0.0,
+        max_descriptors: int = 0,
         leave_notice_s: float = 1.0,
         fellow_hosts: Iterable[dict[str, str]] = (),
         version_floor: str = "peers",
@@ -80,6 +88,8 @@
         self.host_list = host_list
         self.log_level = log_level
         self.max_connections = max_connections
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
         self.leave_notice_s = leave_notice_s
         self.fellow_hosts = [EntryHost(**host) for host in fellow_hosts]
         self.version_floor = version_floor
