--- a/src/rhubarbway/services/server_codec.py
+++ b/src/rhubarbway/services/server_codec.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from rhubarbway.edge.http_client import Reply
+from rhubarbway.edge.http_call import Reply
 from rhubarbway.model import ForwardedRequest, ReplicaReply, ServerNotice
 
 EncodeRequest = Callable[..., list[str]]
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -10,6 +10,7 @@
 
 from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.decisions.slowness_reports import SlownessReport, apply_report
+from rhubarbway.edge.byte_account import UNCOUNTED
 from rhubarbway.edge.exchange_connection import (
     ExchangeConnection,
     RefusedCallError,
@@ -310,7 +311,10 @@
                 next_attempt = self.take_queued_or_become_idle(connection)
             self.observe(attempt, outcome)
             attempt.deliver(outcome)
+            # An idle task must not keep the last request and its reply, which may have megabytes.
+            del attempt, outcome
             attempt = next_attempt or connection.inbox.get()
+            del next_attempt
         with self.lock:
             self.connection_count -= 1
         connection.http.disconnect()
@@ -414,6 +418,7 @@
                 connect_timeout_s=self.connect_timeout_s,
                 acknowledgement_timeout_s=self.acknowledgement_timeout_s,
                 call_number=attempt.call_number,
+                account=request.account or UNCOUNTED,
             )
         except CallError as error:
             connection.reusable_until = float("inf")
@@ -477,6 +482,8 @@
             end = ExchangeEnd.TIMED_OUT
         if error.silent:
             end = ExchangeEnd.SILENT
+        if error.unread:
+            end = ExchangeEnd.UNREAD
         if error.malformed:
             end = ExchangeEnd.MALFORMED
         if attempt.cancelled:
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -27,7 +27,11 @@
     RoutingTable,
     ServerNotice,
 )
-from rhubarbway.services.connection_tasks import ConnectionTasks, connection_task_limit
+from rhubarbway.services.connection_tasks import (
+    MAX_CONNECTION_TASKS,
+    ConnectionTasks,
+    connection_task_limit,
+)
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING
 from rhubarbway.services.server_attempt import ServerAttempt
@@ -81,6 +85,8 @@
         Processor of this host in whole cores, which allows it more connections.
     warm_up_overshoot, warm_up_slack : float
         See ``GatewaySettings``.
+    max_connections : int
+        Greatest number of connections to all servers that the descriptors of the host allow.
     """
 
     __slots__ = (
@@ -96,6 +102,7 @@
         "lock",
         "leaving_listeners",
         "log",
+        "max_connections",
         "notices",
         "observers",
         "pools",
@@ -120,6 +127,7 @@
         cores: float = 0.0,
         warm_up_overshoot: float = 1.0,
         warm_up_slack: float = 0.0,
+        max_connections: int = MAX_CONNECTION_TASKS,
     ) -> None:
         own = FanOutHost(address=address, zone=zone, cores=cores)
         self.sharing = ServerSharing(
@@ -130,6 +138,7 @@
         self.cold_attempt_listeners: list[ColdAttemptListener] = []
         self.reset_listeners: list[ResetListener] = []
         self.cores = cores
+        self.max_connections = max_connections
         self.codec = codec
         self.zone = zone
         self.preconnects = preconnects
@@ -157,7 +166,8 @@
         # Recent reports about slow servers, of this host and of others.
         self.slowness_reports = SlownessReports()
         self.lock = threading.Lock()
-        self.tasks = ConnectionTasks(limit=connection_task_limit(DEFAULT_HOST_COUNT, cores=cores))
+        limit = min(connection_task_limit(DEFAULT_HOST_COUNT, cores=cores), max_connections)
+        self.tasks = ConnectionTasks(limit=limit)
         self.log = component_logger("servers")
 
     def start(self, kernel: Kernel) -> None:
@@ -189,7 +199,7 @@
         with self.lock:
             self.host_count = max(1, host_count)
             self.apply_limits()
-        limit = connection_task_limit(host_count, cores=self.cores)
+        limit = min(connection_task_limit(host_count, cores=self.cores), self.max_connections)
         self.tasks.set_limit(limit)
         self.log.info(
             "Number of entry hosts changed.", hosts=host_count, connection_task_limit=limit
