Let twice the requests come while a zone's servers are cold in the emulator

Change: twice the requests come while the servers are cold, in the pattern and in the one that it is compared with. The checks stay as they are.

--- a/src/rhubarbway_emulator/patterns.py
+++ b/src/rhubarbway_emulator/patterns.py
@@ -366,6 +366,8 @@
 # 70 hosts, otherwise as ``WIDE_DEPLOYMENT``.
 SEVENTY_HOSTS = WIDE_DEPLOYMENT | {"zones": (24, 23, 23), "duration_s": 16.0}
 ZONE_RETURNS = {"begin_s": 4.0, "return_s": 7.0, "cold_s": 3.0}
+# Without a limit, twice the usual requests make cold servers crash.
+COLD_BURST = (7.0, 10.0, 2.0)
 
 # 36 shards with 3 servers of 4 slots each, and 70 entry hosts. Two kinds of request of different
 # priority share all servers.
@@ -494,14 +496,17 @@
         **LARGE_DEPLOYMENT,
     ),
     "zone-returns-cold": Pattern(
-        title="70 hosts, the servers of a zone down for 3 s and cold for 3 s after their return",
+        title="70 hosts, the servers of a zone down for 3 s and cold for 3 s after their return, "
+        "with twice the requests",
         faults=zone_returns(zone_count=3, **ZONE_RETURNS),
+        burst=COLD_BURST,
         warm_up_rate=COLD_RATE,
         **SEVENTY_HOSTS,
     ),
     "zone-stays-away": Pattern(
-        title="70 hosts, the servers of a zone down for 6 s",
+        title="70 hosts, the servers of a zone down for 6 s, with twice the requests in the end",
         faults=zone_returns(zone_count=3, begin_s=4.0, return_s=10.0, cold_s=0.0),
+        burst=COLD_BURST,
         **SEVENTY_HOSTS,
     ),
     "large-zone-returns-cold": Pattern(
