Refuse waiting requests when a host begins to stop

Cause: the stop shortened the time limit only of requests that arrived after the signal. A task that waited already kept its own deadline, nothing woke it, and HttpServer.stop shut its connection down.

Change: StopNotice wakes the tasks of all requests in progress. A request of which nothing was sent is refused with 503 as soon as it is known that it cannot be sent and answered before the cut; the others have to be answered 0.15 s before it. Related paths: requests that this host has delegated, or that another host has delegated to it, get the same notice. Attempts in flight are not withdrawn; a hedge or retry that would end too late has no time left.

--- a/src/rhubarbway/decisions/attempt_queue.py
+++ b/src/rhubarbway/decisions/attempt_queue.py
@@ -48,7 +48,7 @@
 class AttemptQueue(Generic[Attempt]):
     """Attempts that wait, by rank; the caller holds a lock.
 
-    ``work_ahead_s`` may be called without the lock, and is then approximate.
+    The methods that return work may be called without the lock, and are then approximate.
     """
 
     __slots__ = ("by_rank", "sequence", "taken", "work_s")
@@ -103,3 +103,16 @@
         It is the sum of their typical exchange times.
         """
         return sum(seconds for other, seconds in list(self.work_s.items()) if other <= rank)
+
+    def work_before_s(self, attempt: Attempt) -> float:
+        """Return the work of the waiting attempts that are sent before a waiting one, seconds.
+
+        It is 0 for an attempt that does not wait. May be called without the lock.
+        """
+        rank = rank_of(attempt.priority, is_extra=attempt.is_extra)
+        ahead_s = self.work_ahead_s(rank - 1)
+        for _, other in list(self.by_rank.get(rank, ())):
+            if other is attempt:
+                return ahead_s
+            ahead_s += other.exchange_s
+        return 0.0
--- a/src/rhubarbway/decisions/late_requests.py
+++ b/src/rhubarbway/decisions/late_requests.py
@@ -1,4 +1,4 @@
-"""Requests that reach a host after it has begun to stop.
+"""Requests that a stopping host begins or keeps waiting for a server.
 
 All times are ``time.monotonic()`` instants in seconds. At ``cut_at`` the host closes the
 connections on which requests still run.
@@ -28,3 +28,23 @@
     target_at = request.received_at + route.target_latency_s
     needed_until = min(limit_at, target_at) if route.idempotent else limit_at
     return needed_until <= answer_deadline(cut_at)
+
+
+def latest_send_at(route: Route, *, limit_at: float, exchange_s: float, answer_by: float) -> float:
+    """Return the instant until which a stopping host may send a request that waits for a server.
+
+    As in ``fits_before_cut``, a request that must not be repeated needs its whole time limit, so it
+    may be sent at any time or not at all.
+
+    Parameters
+    ----------
+    limit_at : float
+        End of the time limit of the request.
+    exchange_s : float
+        Expected time of the exchange with the server, seconds.
+    answer_by : float
+        Instant by which the host has answered all requests.
+    """
+    if limit_at <= answer_by:
+        return limit_at
+    return answer_by - exchange_s if route.idempotent else float("-inf")
--- a/src/rhubarbway/decisions/server_load.py
+++ b/src/rhubarbway/decisions/server_load.py
@@ -176,10 +176,32 @@
         """Return the expected wait of a first attempt for a connection to the server, seconds."""
         if not self.must_wait(priority=priority, max_connections=max_connections, now=now):
             return 0.0
-        running = list(self.running.values())
-        work_s = REMAINING_FRACTION * sum(exchange.exchange_s for exchange in running)
         rank = rank_of(priority, is_extra=False)
-        work_s += self.queued.work_ahead_s(rank)
+        work_s = self.queued.work_ahead_s(rank)
+        return self.drain_s(rank, work_s, max_connections=max_connections, pace=pace, now=now)
+
+    def queued_wait_s(
+        self, attempt: Attempt, *, max_connections: float, pace: float, now: float
+    ) -> float:
+        """Return the expected further wait of a queued attempt for a connection, seconds."""
+        rank = rank_of(attempt.priority, is_extra=attempt.is_extra)
+        work_s = self.queued.work_before_s(attempt)
+        return self.drain_s(rank, work_s, max_connections=max_connections, pace=pace, now=now)
+
+    def drain_s(
+        self, rank: int, queued_s: float, *, max_connections: float, pace: float, now: float
+    ) -> float:
+        """Return the time until queued work and the running exchanges leave a connection free.
+
+        Parameters
+        ----------
+        rank : int
+            Rank of the attempt that needs the connection.
+        queued_s : float
+            Typical exchange times of the attempts that are sent before it, seconds.
+        """
+        running = list(self.running.values())
+        work_s = queued_s + REMAINING_FRACTION * sum(exchange.exchange_s for exchange in running)
         is_shared = rank > self.most_urgent_rank(now)
         lanes = self.shared_limit(max_connections, now) if is_shared else max_connections
         return work_s * pace / lanes
--- a/src/rhubarbway/decisions/tests/test_late_requests.py
+++ b/src/rhubarbway/decisions/tests/test_late_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rhubarbway.decisions.late_requests import ANSWER_WRITE_S, fits_before_cut
+from rhubarbway.decisions.late_requests import ANSWER_WRITE_S, fits_before_cut, latest_send_at
 from rhubarbway.model import ForwardedRequest, Route
 
 TIMEOUT_S = 4.0
@@ -44,3 +44,25 @@
             deadline=deadline_s,
         )
         assert fits_before_cut(request, route, cut_at=CUT_S) is fits
+
+
+class TestLatestSendAt:
+    @pytest.mark.parametrize(
+        ("idempotent", "limit_s", "latest_s"),
+        [(True, 60.0, LAST_ANSWER_S - 0.3), (False, 60.0, float("-inf")), (False, 4.5, 4.5)],
+    )
+    def test_leaves_time_for_the_exchange_or_for_the_whole_time_limit(
+        self, idempotent, limit_s, latest_s
+    ):
+        """Guards against a waiting request that a stopping host sends and then cuts."""
+        route = Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            idempotent=idempotent,
+            timeout_s=60.0,
+            target_latency_s=1.0,
+        )
+        assert latest_send_at(
+            route, limit_at=limit_s, exchange_s=0.3, answer_by=LAST_ANSWER_S
+        ) == pytest.approx(latest_s)
--- a/src/rhubarbway/decisions/tests/test_urgency.py
+++ b/src/rhubarbway/decisions/tests/test_urgency.py
@@ -52,6 +52,14 @@
         assert queue.pop() is None and queue.work_ahead_s(9) == 0.0
 
 
+    def test_the_work_before_a_waiting_attempt_is_that_of_the_attempts_sent_first(self):
+        """Guards against a stopping host that takes the end of a queue for the place of all."""
+        last = Waiting("last", 1)
+        queue = queue_of(Waiting("a", 1), Waiting("u", 0), last, Waiting("b", 1))
+        assert queue.work_before_s(last) == pytest.approx(0.06)
+        assert queue.work_before_s(Waiting("sent", 1)) == 0.0
+
+
 class TestServerLoad:
     def test_less_urgent_attempts_do_not_delay_an_urgent_one(self):
         """Guards against urgent requests refused because of a queue that they overtake."""
--- a/src/rhubarbway/services/caller_inbox.py
+++ b/src/rhubarbway/services/caller_inbox.py
@@ -50,6 +50,10 @@
         if self.urgent or len(self.outcomes) >= self.wake_count:
             self.event.set()
 
+    def wake(self) -> None:
+        """End the current or the next wait of the task. Any task may call this."""
+        self.event.set()
+
     def receive(self, timeout_s: float, *, min_successes: int = 1) -> list[ExchangeOutcome]:
         """Wait for outcomes, a disconnect of the caller or the time limit; return the outcomes.
 
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -216,11 +216,8 @@
         pool = self.best_delegate(route) if route is not None and route.shards else None
         if route is None or pool is None:
             return self.forwarding.answer(request, sock=sock)
-        inbox = CallerInbox(sock=sock)
-        try:
+        with self.forwarding.stop_notice.watched(CallerInbox(sock=sock)) as inbox:
             outcome = self.run_on_delegate(request, route, pool, inbox)
-        finally:
-            inbox.close()
         if outcome is None:
             return None
         self.metrics.count_delegation(end=outcome.end.value)
@@ -267,8 +264,15 @@
         )
         pool.submit(attempt)
         while True:
+            now = time.monotonic()
+            answer_by = self.forwarding.stop_notice.answer_by
+            if now >= answer_by:
+                ran = ExecutionStatus.NOT_RUN if attempt.cancel() else ExecutionStatus.UNKNOWN
+                return pool.make_outcome(
+                    attempt, ExchangeEnd.TIMED_OUT, ran, detail="this host stops"
+                )
             # The attempt ends by itself shortly after its deadline.
-            outcomes = inbox.receive(max(0.0, deadline - time.monotonic()) + 1.0)
+            outcomes = inbox.receive(min(max(0.0, deadline - now) + 1.0, answer_by - now))
             if inbox.caller_left:
                 attempt.cancel()
                 return None
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -30,6 +30,7 @@
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.servers import ServerService
 from rhubarbway.services.shared_retry_budget import SharedRetryBudget
+from rhubarbway.services.stop_notice import StopNotice
 
 
 class ForwardingService:
@@ -55,6 +56,7 @@
         "reported_level",
         "routing",
         "servers",
+        "stop_notice",
         "zone",
     )
 
@@ -65,6 +67,7 @@
         # Tasks write to it without a lock, since a lost update only loses one value of many.
         self.answer_margin = AnswerMargin()
         self.random = Random()
+        self.stop_notice = StopNotice()
         self.reported_level = 0.0
         self.log = component_logger("forwarding")
         self.crashing_requests: CrashingRequestService
@@ -96,6 +99,7 @@
             random=self.random,
             expect=kernel.find(INVARIANTS).expect,
             log=self.log,
+            stop_notice=self.stop_notice,
         )
         self.routing.listeners.append(self.apply_table)
 
@@ -157,8 +161,7 @@
             self.log.info("Crashing request refused.", request_id=request.request_id)
             return refusal("servers were lost with this request", random=self.random)
         services = route.shards or (self.routing.next_service(route),)
-        inbox = CallerInbox(sock=sock)
-        try:
+        with self.stop_notice.watched(CallerInbox(sock=sock)) as inbox:
             forwarder = RequestForwarder(
                 request=request,
                 digest=digest,
@@ -168,8 +171,6 @@
                 context=self.context,
             )
             answer = forwarder.run()
-        finally:
-            inbox.close()
         self.record_answer(forwarder, answer, current.table.version)
         return answer
 
--- a/src/rhubarbway/services/forwarding_context.py
+++ b/src/rhubarbway/services/forwarding_context.py
@@ -14,6 +14,7 @@
 from rhubarbway.services.send_checks import SendChecks
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shared_retry_budget import SharedRetryBudget
+from rhubarbway.services.stop_notice import StopNotice
 
 
 class ForwardingContext:
@@ -53,6 +54,8 @@
         Reports an invariant that does not hold: ``expect(holds, name, **details)``.
     send_checks : SendChecks
         Checks the invariants of each attempt that is sent.
+    stop_notice : StopNotice
+        Tells when this host begins to stop.
     log : logger
         Logger of the forwarding component; gets one line for each decision.
     """
@@ -72,6 +75,7 @@
         "processing_s",
         "random",
         "send_checks",
+        "stop_notice",
         "typical_s",
         "zone",
     )
@@ -94,7 +98,9 @@
         exchange_s: Callable[[Route], float] | None = None,
         arrivals: ArrivalLoad | None = None,
         choose_replica: Callable[..., ServerPool | None] = best_replica,
+        stop_notice: StopNotice | None = None,
     ) -> None:
+        self.stop_notice = stop_notice or StopNotice()
         self.exchange_s = exchange_s or typical_s
         self.arrivals = arrivals or ArrivalLoad()
         self.choose_replica = choose_replica
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -170,6 +170,7 @@
         """Report not ready, keep serving for the notice period, then finish requests in flight."""
         self.cut_at = time.monotonic() + GRACE_FRACTION * self.grace_s
         self.leaving.set()
+        self.forwarding.stop_notice.give(answer_by=answer_deadline(self.cut_at))
         self.fleet.mark_leaving()
         self.server.disable_keep_alive()
         self.log.info("Leaving.", notice_s=self.notice_s)
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -7,7 +7,13 @@
     late_answer_deadline,
     target_deadline,
 )
-from rhubarbway.decisions.forward_answers import failed_answer, merge_replies, relay_reply
+from rhubarbway.decisions.forward_answers import (
+    failed_answer,
+    merge_replies,
+    refusal,
+    relay_reply,
+)
+from rhubarbway.decisions.late_requests import latest_send_at
 from rhubarbway.decisions.urgency import budget_reserve
 from rhubarbway.model import (
     UNDELIVERED_ENDS,
@@ -30,6 +36,7 @@
 from rhubarbway.services.server_choice import best_pool, expected_latency_s
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shard_progress import ShardProgress
+from rhubarbway.services.stopping_requests import expected_send_at
 
 # Extra attempts that a hedge must leave in the retry budget, so that hedges for slow servers do not
 # use up the retries that lost requests need.
@@ -70,6 +77,7 @@
         "request",
         "route",
         "shards",
+        "stop_check_at",
         "target_deadline",
         "typical_s",
     )
@@ -97,6 +105,8 @@
         self.replied_count = 0
         # Earliest instant at which some shard may need a hedge.
         self.hedge_at = float("inf")
+        # Instant at which the request is refused if this host stops and has not sent it by then.
+        self.stop_check_at = float("inf")
         self.typical_s = context.typical_s(route)
         self.hedge_delay_s = context.hedge_delay_s(route)
         received_at = request.received_at
@@ -131,6 +141,9 @@
         self.send_first_attempts(plan)
         while not self.is_finished():
             now = self.context.clock()
+            refused = self.refuse_if_stopping(now)
+            if refused is not None:
+                return refused
             if now >= self.wait_deadline():
                 break
             if now >= self.target_deadline:
@@ -147,6 +160,37 @@
                 self.send_hedges(now)
         return self.build_answer()
 
+    def refuse_if_stopping(self, now: float) -> ForwardedAnswer | None:
+        """Return a refusal if this host stops and cannot send and answer the request in time.
+
+        Any other request has to be answered before the stopping host closes its connections.
+        """
+        self.stop_check_at = float("inf")
+        answer_by = self.context.stop_notice.answer_by
+        if answer_by == float("inf"):
+            return None
+        request = self.request
+        send_at = expected_send_at(self.shards.values(), now=now)
+        if send_at is not None:
+            self.stop_check_at = latest_send_at(
+                self.route,
+                limit_at=min(request.deadline, request.received_at + self.route.timeout_s),
+                exchange_s=self.context.exchange_s(self.route),
+                answer_by=answer_by,
+            )
+            if send_at > self.stop_check_at and self.cancel_all_attempts():
+                self.context.log.info(
+                    "Waiting request refused: the host stops.",
+                    request_id=request.request_id,
+                    route=self.route.name,
+                    waited_ms=round((now - request.received_at) * 1000),
+                    expected_wait_ms=round((send_at - now) * 1000),
+                )
+                return refusal("this host stops", random=self.context.random)
+        self.deadline = min(self.deadline, answer_by)
+        self.attempt_deadline = min(self.attempt_deadline, answer_by)
+        return None
+
     def pending_shards(self) -> list[ShardProgress]:
         """Return the shards that may still reply."""
         return [shard for shard in self.shards.values() if shard.is_pending]
@@ -185,7 +229,7 @@
         therefore has to wake at the target deadline to find out whether the replies cover enough
         shards.
         """
-        at = min(self.wait_deadline(), self.hedge_at)
+        at = min(self.wait_deadline(), self.hedge_at, self.stop_check_at)
         return min(at, self.target_deadline) if self.is_fan_out and not self.missed_target else at
 
     def best_pool(self, shard: ShardProgress, now: float) -> ServerPool | None:
@@ -243,6 +287,7 @@
             exchange_s=self.context.exchange_s(self.route),
             priority=self.route.priority,
             is_extra=bool(shard.attempt_log),
+            server_state=pool.state,
             deliver=self.inbox.put,
         )
         shard.sent_count += 1
--- a/src/rhubarbway/services/server_attempt.py
+++ b/src/rhubarbway/services/server_attempt.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from rhubarbway.decisions.server_state import ServerState
 from rhubarbway.edge.exchange_connection import ExchangeConnection
 from rhubarbway.model import ExchangeOutcome, ForwardedRequest
 
@@ -36,7 +37,9 @@
         The connection that the attempt uses, until its call has ended.
     call_number : int
         Number reserved for the call on that connection, so that a late cancellation hits no other
-        call, also if this one is never begun.
+        call, also if this one is never begun. 0 until then: nothing can have been sent.
+    server_state : ServerState or None
+        State of the server, whose load tells how long the attempt still waits; None if unknown.
     waiting_since : float or None
         Instant at which the attempt began to wait for the server or for a free connection to it;
         None until the task of an idle or new connection has picked it up.
@@ -57,6 +60,7 @@
         "request",
         "route_name",
         "sent_at",
+        "server_state",
         "shard",
         "submitted_at",
         "typical_s",
@@ -77,7 +81,9 @@
         exchange_s: float | None = None,
         priority: int = 0,
         is_extra: bool = False,
+        server_state: ServerState | None = None,
     ) -> None:
+        self.server_state = server_state
         self.exchange_s = typical_s if exchange_s is None else exchange_s
         self.priority = priority
         self.is_extra = is_extra
--- /dev/null
+++ b/src/rhubarbway/services/stopping_requests.py
@@ -0,0 +1,36 @@
+"""Requests of which nothing has been sent when this host begins to stop."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from rhubarbway.model import ExecutionStatus
+from rhubarbway.services.server_attempt import ServerAttempt
+from rhubarbway.services.shard_progress import ShardProgress
+
+
+def queued_wait_s(attempt: ServerAttempt, *, now: float) -> float:
+    """Return the expected further wait of an attempt for a connection to its server, seconds."""
+    state = attempt.server_state
+    if state is None:
+        return 0.0
+    pace = state.load.expected_pace(slowness=state.current_slowness(now), now=now)
+    return state.load.queued_wait_s(
+        attempt, max_connections=state.max_connections, pace=pace, now=now
+    )
+
+
+def expected_send_at(shards: Iterable[ShardProgress], *, now: float) -> float | None:
+    """Return when the first attempt of a waiting request is expected to be sent.
+
+    Returns None if something of the request may have been sent already.
+    """
+    waits = []
+    for shard in shards:
+        if shard.reply is not None or shard.ran is not ExecutionStatus.NOT_RUN:
+            return None
+        for attempt in shard.in_flight.values():
+            if attempt.call_number:
+                return None
+            waits.append(queued_wait_s(attempt, now=now))
+    return now + min(waits, default=0.0)
