Apply changed caller limits to connections that are open

Cause: h11 takes its limit on an incomplete head when the connection opens, and the other limits were read before the wait for the next request.

Change: the server itself limits unparsed bytes, by the limits that are in force when the request begins; the idle timeout is read again before an idle connection is closed. Related path: a host that knows no configuration yet ended such requests with 431 or 413 by its default limits; it answers 503 with Retry-After now.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -282,6 +282,12 @@
             assert kernel.find(REGISTRY).complete is False
             assert reply.status == 503
             assert float(reply.headers["retry-after"]) > 0
+            # The limits of the configuration may be higher than the defaults.
+            large = send_once(
+                fleet.addresses[0], host=VIRTUAL_HOST, target=f"{SINGLE_PREFIX}{'1' * 20_000}"
+            )
+            assert large.status == 503
+            assert float(large.headers["retry-after"]) > 0
 
     def test_a_silent_store_does_not_keep_later_versions_away(self, fleet):
         """Guards against a watch that hangs because the store fell silent while the watch
--- a/src/rhubarbway/decisions/tests/test_urgency.py
+++ b/src/rhubarbway/decisions/tests/test_urgency.py
@@ -51,7 +51,6 @@
         assert [attempt.name for attempt in queue.drain()] == ["a", "b", "c"]
         assert queue.pop() is None and queue.work_ahead_s(9) == 0.0
 
-
     def test_the_work_before_a_waiting_attempt_is_that_of_the_attempts_sent_first(self):
         """Guards against a stopping host that takes the end of a queue for the place of all."""
         last = Waiting("last", 1)
--- a/src/rhubarbway/edge/http_messages.py
+++ b/src/rhubarbway/edge/http_messages.py
@@ -32,9 +32,9 @@
 def check_head(head: h11.Request, limits: CallerLimits) -> None:
     """Check the size of a request head and that it states the body length in only one way.
 
-    ``h11`` limits a head that arrives in several reads, but not one that arrives in a single read.
-    With two statements of the length, a load balancer in front may follow the other one and take
-    part of the body for the request of another caller (request smuggling).
+    ``check_unparsed`` limits a head that arrives in several reads, but not one that arrives in a
+    single read. With two statements of the length, a load balancer in front may follow the other
+    one and take part of the body for the request of another caller (request smuggling).
 
     Raises
     ------
@@ -58,6 +58,21 @@
         raise RequestTooLarge(f"the body exceeds {limits.max_body_bytes} bytes")
 
 
+def check_unparsed(connection: h11.Connection, limits: CallerLimits) -> None:
+    """Check the size of a head, chunk line or trailer that has not arrived completely.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If it is larger than a head may be.
+    """
+    unparsed, _ = connection.trailing_data
+    if len(unparsed) > limits.max_header_bytes:
+        raise h11.RemoteProtocolError(
+            f"the head exceeds {limits.max_header_bytes} bytes", error_status_hint=431
+        )
+
+
 def stated_length(head: h11.Request) -> int:
     """Return the length of the body that a checked head states; 0 for none."""
     return int(dict(head.headers).get(b"content-length", b"0"))
--- a/src/rhubarbway/edge/http_server.py
+++ b/src/rhubarbway/edge/http_server.py
@@ -10,6 +10,7 @@
 import select
 import selectors
 import socket
+import sys
 import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -32,6 +33,7 @@
     RequestTooLarge,
     RequestTooSlow,
     check_head,
+    check_unparsed,
     encode_response,
     stated_length,
     wsgi_environ,
@@ -109,8 +111,8 @@
     name : str
         Prefix of the thread names.
     limits : callable
-        Returns the limits. Called before each request is read, and when a connection opens: the
-        limit on a head that arrives in several reads stays that of the opening.
+        Returns the limits in force. Called when a request begins, and when an idle connection is
+        about to be closed, so that changed limits hold for the next request of open connections.
     report_mismatch : callable
         Called with the peer of a connection that carries more bytes than the server has sent.
     report_failure : callable
@@ -244,9 +246,9 @@
 
     def serve_connection(self, state: ConnectionState) -> None:
         """Answer requests on one connection until either side closes it."""
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits().max_header_bytes
-        )
+        # ``h11`` takes its limit only when a connection opens; ``check_unparsed`` applies the limit
+        # in force instead.
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         try:
             while self.serve_request(state, connection):
                 connection.start_next_cycle()
@@ -338,16 +340,19 @@
         chunks: list[bytes] = []
         size = held = 0
         limits = self.limits()
-        deadline = time.monotonic() + limits.idle_timeout_s
+        idle_since = time.monotonic()
+        deadline: float | None = None
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
+                check_unparsed(connection, limits)
                 if connection.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     state.sent.send_all(state.sock, connection.send(interim))
-                data = self.receive(state, deadline)
+                data = self.receive(state, deadline, idle_since=idle_since)
                 if data and not state.busy:
                     state.busy = True
+                    limits = self.limits()
                     deadline = time.monotonic() + limits.header_timeout_s
                 connection.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -382,11 +387,14 @@
             raise BodyRefused("no memory for the body")
         return size
 
-    def receive(self, state: ConnectionState, deadline: float) -> bytes:
+    def receive(
+        self, state: ConnectionState, deadline: float | None, *, idle_since: float
+    ) -> bytes:
         """Return the next bytes of a connection, or empty bytes if it has ended.
 
-        An idle connection also ends at ``deadline``, and ``STOP_IDLE_TIMEOUT_S`` after the server
-        begins to stop. A request that has begun is still read.
+        Without a ``deadline`` the connection is idle: it also ends after the idle timeout in force,
+        and ``STOP_IDLE_TIMEOUT_S`` after the server begins to stop. A request that has begun is
+        still read.
 
         Raises
         ------
@@ -397,7 +405,15 @@
         if state.busy:
             poll = select.poll()
             poll.register(state.sock, select.POLLIN)
-        ready = poll.poll(max(0.0, deadline - time.monotonic()) * 1000)
+
+        def remaining_s() -> float:
+            until = idle_since + self.limits().idle_timeout_s if deadline is None else deadline
+            return max(0.0, until - time.monotonic())
+
+        ready = poll.poll(remaining_s() * 1000)
+        # A new configuration may have raised the idle timeout meanwhile.
+        while not ready and remaining_s() > 0.0:
+            ready = poll.poll(remaining_s() * 1000)
         descriptor = state.sock.fileno()
         if ready and all(number != descriptor for number, _ in ready):
             socket_poll = select.poll()
--- a/src/rhubarbway/services/gateway.py
+++ b/src/rhubarbway/services/gateway.py
@@ -11,7 +11,7 @@
 from returns.result import Result, Success
 from werkzeug.wrappers import Request, Response
 
-from rhubarbway.decisions.forward_answers import refusal
+from rhubarbway.decisions.forward_answers import STARTING_RETRY_AFTER_S, refusal
 from rhubarbway.decisions.late_requests import answer_deadline, fits_before_cut
 from rhubarbway.edge.addresses import parse_address
 from rhubarbway.edge.http_server import (
@@ -45,6 +45,8 @@
 # counted from the stop signal.
 GRACE_FRACTION = 0.87
 MAX_READY_CONNECTIONS = 16
+# Statuses of requests that exceed a limit of the configuration.
+LIMIT_STATUSES = frozenset({413, 431})
 
 DecodeRequest = Callable[..., Result[ForwardedRequest, str]]
 EncodeAnswer = Callable[..., Response]
@@ -235,6 +237,17 @@
         return None
 
     def respond_to_bad_request(self, status: int, detail: str) -> Response:
-        """Return the answer to a request that is rejected before it is forwarded."""
+        """Return the answer to a request that is rejected before it is forwarded.
+
+        A host without a configuration does not know whether a request exceeds the limits. It
+        refuses those that its default limits do not admit, so that their callers come back.
+        """
         self.log.info("Request rejected.", status=status, detail=detail[:200])
+        if status in LIMIT_STATUSES and self.routing.in_force is None:
+            answer = refusal(
+                "no configuration is known yet",
+                random=self.random,
+                retry_after_s=STARTING_RETRY_AFTER_S,
+            )
+            return self.encode(answer, request_id="")
         return self.encode(ForwardedAnswer(status=status, detail=detail[:200]), request_id="")
