Count a confirmation of the store only when it first arrives

Cause found beside it: hosts pass a confirmation on as an age, without the time of the message. Hosts that follow each other passed one round and took it for a newer one, so that their copies grew stale late, and nobody else read the store.

Change: a confirmation names its reader and a number; only the first arrival counts. The fields are optional in the feed, so hosts of both builds work together.

--- a/src/rhubarbway/decisions/copy_freshness.py
+++ b/src/rhubarbway/decisions/copy_freshness.py
@@ -24,11 +24,74 @@
 # While a copy stays stale, the number of hosts that read the store doubles at this interval, as a
 # fraction of the apply limit.
 ESCALATION_FRACTION = 0.1
+# Number of readers whose newest confirmation is remembered; more than read the store at a time.
+MAX_KNOWN_READERS = 64
 # Largest number of hosts that read the store because their copy is stale. It bounds the calls to a
 # store that is down for all; if it is reachable at all, one host that reaches it is enough.
 MAX_STALE_READERS = 24
 
 
+class Confirmation:
+    """One answer of the store, by which a copy was current when it was given.
+
+    Attributes
+    ----------
+    at : float
+        Instant of the answer by the clock of this host; -inf if the store has not answered yet. It
+        is later than the true one by the time that the news of it took.
+    reader : str
+        Incarnation of the host that got the answer; empty if it is not known.
+    number : int
+        Number of the answer among those that this reader got.
+    """
+
+    __slots__ = ("at", "number", "reader")
+
+    def __init__(self, *, at: float = float("-inf"), reader: str = "", number: int = 0) -> None:
+        self.at = at
+        self.reader = reader
+        self.number = number
+
+
+class KnownConfirmations:
+    """The newest answer of each reader of which this host knows; the caller holds a lock.
+
+    Hosts pass a confirmation on to each other in circles, and each passage makes it seem younger by
+    the time that the message took. Only its first arrival therefore counts. Otherwise hosts that
+    are slow to read messages would take their copies for current long after the store has gone.
+
+    Examples
+    --------
+    >>> known = KnownConfirmations()
+    >>> [known.is_new(Confirmation(at=at, reader="r", number=7)) for at in (1.0, 1.2)]
+    [True, False]
+    >>> known.is_new(Confirmation(at=1.3, reader="r", number=8))
+    True
+    """
+
+    __slots__ = ("numbers",)
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, int] = {}
+
+    def is_new(self, confirmation: Confirmation) -> bool:
+        """Record a confirmation, and return whether it had not arrived before.
+
+        Those of an unknown reader, from hosts of an earlier version, always count as new.
+        """
+        reader = confirmation.reader
+        if not reader:
+            return True
+        if confirmation.number <= self.numbers.get(reader, 0):
+            return False
+        # The readers that have confirmed most recently are kept.
+        self.numbers.pop(reader, None)
+        self.numbers[reader] = confirmation.number
+        if len(self.numbers) > MAX_KNOWN_READERS:
+            del self.numbers[next(iter(self.numbers))]
+        return True
+
+
 def is_stale(age_s: float, *, apply_limit_s: float) -> bool:
     """Return whether a copy that was last confirmed ``age_s`` ago may lack a change for too long.
 
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -159,9 +159,11 @@
     change, for the next request. ``complete`` states that the copy contains everything up to
     ``revision`` of the store. ``members`` are the other hosts that the sender knows, or none if
     they were sent recently. ``confirmed_age_ms`` is the time since the store last confirmed that
-    the sender's copy is current; None if it never did, or the reply carries no copy. ``settled``
-    and ``deletions_known_after`` are those of the sender's copy (``StoreCopy``). ``answers`` is the
-    number of the request; None from a host of an earlier version.
+    the sender's copy is current; None if it never did, or the reply carries no copy.
+    ``confirmed_by`` and ``confirmed_number`` name that answer of the store (``Confirmation``); they
+    are empty from a host of an earlier version. ``settled`` and ``deletions_known_after`` are those
+    of the sender's copy (``StoreCopy``). ``answers`` is the number of the request; None from a host
+    of an earlier version.
     """
 
     sender: WireMember
@@ -175,6 +177,8 @@
     reports: list[WireReport] = []
     leaving: list[WireLeavingMark] = []
     confirmed_age_ms: Age | None = None
+    confirmed_by: Name = ""
+    confirmed_number: Counter = 0
     settled: Counter = 0
     deletions_known_after: Counter = 0
     answers: Counter | None = None
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -18,7 +18,7 @@
 
 from werkzeug.wrappers import Request, Response
 
-from rhubarbway.decisions.copy_freshness import stale_reader_count
+from rhubarbway.decisions.copy_freshness import Confirmation, stale_reader_count
 from rhubarbway.decisions.fleet_view import FleetMember, FleetView
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.addresses import parse_address
@@ -435,7 +435,11 @@
             whole=reply.whole,
             complete=reply.complete,
             source=reply.sender.address,
-            confirmed_at=feed_wire.instant_from_age(reply.confirmed_age_ms, now=now),
+            confirmation=Confirmation(
+                at=feed_wire.instant_from_age(reply.confirmed_age_ms, now=now),
+                reader=reply.confirmed_by,
+                number=reply.confirmed_number,
+            ),
             settled_revision=reply.settled,
             deletions_known_after=reply.deletions_known_after,
         )
@@ -645,7 +649,9 @@
             losses=self.own_losses(),
             reports=self.own_reports(),
             leaving=self.own_leaving_marks(),
-            confirmed_age_ms=feed_wire.age_ms(changes.confirmed_at, now=time.monotonic()),
+            confirmed_age_ms=feed_wire.age_ms(changes.confirmation.at, now=time.monotonic()),
+            confirmed_by=changes.confirmation.reader,
+            confirmed_number=changes.confirmation.number,
             settled=changes.settled_revision,
             deletions_known_after=changes.deletions_known_after,
             answers=answers,
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -6,13 +6,20 @@
 
 from __future__ import annotations
 
+import itertools
+import secrets
 import threading
 import time
 from collections.abc import Callable, Iterable, Sequence
 
 from returns.result import Success
 
-from rhubarbway.decisions.copy_freshness import RELAY_FRACTION, is_stale
+from rhubarbway.decisions.copy_freshness import (
+    RELAY_FRACTION,
+    Confirmation,
+    KnownConfirmations,
+    is_stale,
+)
 from rhubarbway.decisions.deferred_deletions import DeferredDeletions, is_mass_deletion
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
@@ -52,16 +59,15 @@
         deleted.
     complete : bool
         Whether the copy is complete; items of the store may be missing from an incomplete one.
-    confirmed_at : float
-        ``time.monotonic()`` instant at which the store last confirmed that the copy is current;
-        -inf if it never did.
+    confirmation : Confirmation
+        The last answer by which the store confirmed that the copy is current.
     settled_revision, deletions_known_after : int
         Those of the copy (``StoreCopy``).
     """
 
     __slots__ = (
         "complete",
-        "confirmed_at",
+        "confirmation",
         "deletions_known_after",
         "items",
         "revision",
@@ -78,12 +84,12 @@
         sequence: int,
         whole: bool,
         complete: bool,
-        confirmed_at: float = float("-inf"),
+        confirmation: Confirmation | None = None,
         settled_revision: int = 0,
         deletions_known_after: int = 0,
     ) -> None:
         self.complete = complete
-        self.confirmed_at = confirmed_at
+        self.confirmation = confirmation or Confirmation()
         self.settled_revision = settled_revision
         self.deletions_known_after = deletions_known_after
         self.items = items
@@ -102,16 +108,16 @@
     condition : threading.Condition
         Its lock guards the copy. Requests of followers wait for the condition, which is notified
         when the copy changes or waiting followers are to be answered anyway.
-    confirmed_at : float
-        ``time.monotonic()`` instant at which the store last confirmed, to this host or to those
-        that it follows, that the copy is current. The time that a reply takes between two hosts is
-        not counted. -inf until the copy is complete.
+    confirmation : Confirmation
+        The newest answer of the store, to this host or to those that it follows, by which the copy
+        is current. The time that its first message takes between two hosts is not counted.
     """
 
     __slots__ = (
+        "answer_numbers",
         "apply_limit_s",
+        "confirmation",
         "confirmation_listeners",
-        "confirmed_at",
         "confirmation_relayed",
         "copy_is_stale",
         "condition",
@@ -119,7 +125,9 @@
         "deferral",
         "follower_waits_ended",
         "followers_woken_at",
+        "incarnation",
         "invalid_item_listeners",
+        "known_confirmations",
         "log",
         "read_revision",
         "reported_problems",
@@ -131,7 +139,11 @@
     def __init__(self, *, apply_limit_s: float = 3.0) -> None:
         # Time within which a change of the store must be in force here, seconds.
         self.apply_limit_s = apply_limit_s
-        self.confirmed_at = float("-inf")
+        self.confirmation = Confirmation()
+        self.known_confirmations = KnownConfirmations()
+        # Name of this process as a reader, and numbers of the answers that it gets from the store.
+        self.incarnation = secrets.token_hex(8)
+        self.answer_numbers = itertools.count(1)
         # The newest confirmation that waiting followers were told at once.
         self.confirmation_relayed = float("-inf")
         # Whether the copy was stale when its age was last checked.
@@ -181,7 +193,7 @@
         whole: bool,
         complete: bool,
         source: str,
-        confirmed_at: float = float("-inf"),
+        confirmation: Confirmation | None = None,
         settled_revision: int = 0,
         deletions_known_after: int = 0,
     ) -> None:
@@ -200,9 +212,9 @@
             deletions.
         source : str
             Address of the other host, or "store", for log lines.
-        confirmed_at : float
-            When the store last confirmed that the source is current; the copy is as current as its
-            source afterwards if ``complete``.
+        confirmation : Confirmation or None
+            The last one by which the source is current; the copy is as current as its source
+            afterwards if ``complete``.
         settled_revision, deletions_known_after : int
             Those of the source's copy (``StoreCopy``).
         """
@@ -223,16 +235,23 @@
                 self.log.info("Copy of the store is complete.", source=source)
             if changed_items:
                 self.put_into_force(changed_items, source)
-            if complete and confirmed_at > self.confirmed_at:
-                self.confirmed_at = confirmed_at
-                for listener in self.confirmation_listeners:
-                    listener(time.monotonic() - confirmed_at)
+            if complete and confirmation is not None:
+                self.record_confirmation(confirmation)
             relay_step_s = RELAY_FRACTION * self.apply_limit_s
-            is_news = self.confirmed_at >= self.confirmation_relayed + relay_step_s
+            is_news = self.confirmation.at >= self.confirmation_relayed + relay_step_s
             if self.store_copy.sequence > sequence_before or is_news:
-                self.confirmation_relayed = self.confirmed_at
+                self.confirmation_relayed = self.confirmation.at
                 self.condition.notify_all()
 
+    def record_confirmation(self, confirmation: Confirmation) -> None:
+        """Note that the copy was current at some instant; the caller holds the lock."""
+        is_new = self.known_confirmations.is_new(confirmation)
+        if not is_new or confirmation.at <= self.confirmation.at:
+            return
+        self.confirmation = confirmation
+        for listener in self.confirmation_listeners:
+            listener(time.monotonic() - confirmation.at)
+
     def apply_store_changes(
         self, items: Sequence[StoreItem], *, revision: int, whole: bool
     ) -> None:
@@ -250,13 +269,15 @@
             whole=False,
             complete=True,
             source="store",
-            confirmed_at=time.monotonic(),
+            confirmation=Confirmation(
+                at=time.monotonic(), reader=self.incarnation, number=next(self.answer_numbers)
+            ),
             settled_revision=0 if self.deferral.deletions else revision,
         )
 
     def copy_age_s(self) -> float:
         """Return the time since the store last confirmed the copy, seconds; inf without one."""
-        return time.monotonic() - self.confirmed_at
+        return time.monotonic() - self.confirmation.at
 
     def is_copy_stale(self) -> bool:
         """Return whether the copy is complete, but may lack a change for too long."""
@@ -382,7 +403,7 @@
                 sequence=self.store_copy.sequence,
                 whole=whole and self.complete,
                 complete=self.complete,
-                confirmed_at=self.confirmed_at,
+                confirmation=self.confirmation,
                 settled_revision=self.store_copy.settled_revision,
                 deletions_known_after=self.store_copy.deletions_known_after,
             )
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -4,10 +4,11 @@
 from threading import Thread
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbway.decisions.copy_freshness import STALE_FRACTION
+from rhubarbway.decisions.copy_freshness import STALE_FRACTION, Confirmation
 from rhubarbway.decisions.store_contact import StoreContact
 from rhubarbway.model import StoreItem
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
@@ -412,7 +413,8 @@
     def test_a_newer_confirmation_reaches_waiting_followers_at_once(self):
         """Guards against a copy that seems older at each host between it and the store."""
         registry = FilledRegistry().registry
-        registry.confirmed_at = registry.confirmation_relayed = time.monotonic() - 1.0
+        registry.confirmation_relayed = time.monotonic() - 1.0
+        registry.confirmation = Confirmation(at=registry.confirmation_relayed)
         sequence = registry.store_copy.sequence
         received = []
         follower = Thread(
@@ -422,10 +424,15 @@
         while not registry.condition._waiters:
             time.sleep(0.01)
         registry.apply_changes(
-            [], revision=100, whole=False, complete=True, source="h", confirmed_at=time.monotonic()
+            [],
+            revision=100,
+            whole=False,
+            complete=True,
+            source="h",
+            confirmation=Confirmation(at=time.monotonic()),
         )
         follower.join(timeout=2.0)
-        assert received and received[0].confirmed_at == registry.confirmed_at
+        assert received and received[0].confirmation is registry.confirmation
 
 
 class TestDeletionsDeferredElsewhere:
@@ -451,11 +458,31 @@
 
 
 class TestCopyAge:
+    def test_a_confirmation_that_comes_back_is_no_newer_one(self):
+        """Guards against hosts that follow each other and keep a copy current without the store."""
+        first, second = (FilledRegistry().registry for _ in range(2))
+        first.apply_store_changes([], revision=100, whole=False)
+        confirmed_at = first.confirmation.at
+        for source, follower in [(first, second), (second, first)] * 5:
+            known = source.wait_for_changes(after=None, wait_s=0.0).confirmation
+            # A message makes a confirmation seem younger by the time that it takes.
+            passed_on = Confirmation(at=known.at + 0.2, reader=known.reader, number=known.number)
+            follower.apply_changes(
+                [],
+                revision=100,
+                whole=False,
+                complete=True,
+                source="h",
+                confirmation=passed_on,
+            )
+        assert first.confirmation.at == confirmed_at
+        assert second.confirmation.at == pytest.approx(confirmed_at + 0.2)
+
     def test_a_reply_makes_the_copy_as_current_as_its_source(self):
         """Guards against a stale copy that passes for a current one at the hosts that follow it."""
         filled = FilledRegistry()
         registry = filled.registry
-        registry.confirmed_at = 50.0
+        registry.confirmation = Confirmation(at=50.0)
         for confirmed_at, complete, expected in (
             (60.0, True, 60.0),
             (55.0, True, 60.0),
@@ -467,19 +494,19 @@
                 whole=False,
                 complete=complete,
                 source="h",
-                confirmed_at=confirmed_at,
+                confirmation=Confirmation(at=confirmed_at),
             )
-            assert registry.confirmed_at == expected
-        assert registry.wait_for_changes(after=None, wait_s=0.0).confirmed_at == 60.0
+            assert registry.confirmation.at == expected
+        assert registry.wait_for_changes(after=None, wait_s=0.0).confirmation.at == 60.0
 
     def test_a_stale_copy_is_reported_once(self):
         """Guards against a copy that falls behind without a line in the log, or with many."""
         registry = FilledRegistry().registry
         reported = []
         registry.log = LineRecorder(lines=reported)
-        registry.confirmed_at = time.monotonic() - registry.apply_limit_s - 1.0
+        registry.confirmation = Confirmation(at=time.monotonic() - registry.apply_limit_s - 1.0)
         registry.report_copy_age()
         registry.report_copy_age()
-        registry.confirmed_at = time.monotonic()
+        registry.confirmation = Confirmation(at=time.monotonic())
         registry.report_copy_age()
         assert reported == ["Copy of the store is stale.", "Copy of the store is current again."]
