Read what has arrived when a call's task wakes after its deadline

Cause found by reading: a task that got no processor until the deadline of a call had passed took the call for timed out without a look at the reply. The one call that decides whether the store is away has 0.71 s; on a slow host it then held all deletions back for 2.2 s.

Change: the first wait that begins after the deadline takes what is ready; the next one ends the call, so a peer that sends a piece now and then cannot hold it. Replies of servers and hosts profit in the same way. The log says how long a failed call to the store took of its limit, whether its connection was new, and how many deletions are held back.

--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -91,6 +91,7 @@
         "deadline",
         "endpoint",
         "keepalive_probes",
+        "late_wait",
         "lock",
         "on_unexpected_data",
         "poll",
@@ -126,6 +127,8 @@
         # Deadline of the current call, and whether any byte of its request may have been sent.
         self.deadline = 0.0
         self.sent = False
+        # Whether a wait of the current call began after its deadline.
+        self.late_wait = False
 
     @property
     def is_open(self) -> bool:
@@ -187,7 +190,7 @@
             If no complete response arrived. The connection is then closed.
         """
         self.deadline = time.monotonic() + timeout_s
-        self.sent = False
+        self.sent = self.late_wait = False
         try:
             sock = self.connected_socket(connect_timeout_s, call_number)
             reader = ResponseReader(head_only=method == "HEAD")
@@ -354,6 +357,9 @@
     def wait(self, event: int) -> None:
         """Wait until the socket is ready for ``event``, a ``select.POLL...`` flag.
 
+        The first wait that begins after the deadline still finds what is ready then: the task may
+        have been without a processor while the reply arrived.
+
         Raises
         ------
         TimeoutError
@@ -364,7 +370,8 @@
             poll = select.poll()
             poll.register(self.sock, event)
         remaining_s = self.deadline - time.monotonic()
-        if remaining_s <= 0.0 or not poll.poll(remaining_s * 1000):
+        was_late, self.late_wait = self.late_wait, remaining_s <= 0.0
+        if (was_late and self.late_wait) or not poll.poll(max(0.0, remaining_s) * 1000):
             raise TimeoutError("the time limit has passed")
 
     def abort(self, call_number: int) -> None:
--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -208,6 +208,7 @@
         StoreError
             If no complete reply arrived, or its status is not 200.
         """
+        begun_at = time.monotonic()
         try:
             reply = self.connection.exchange(
                 "GET",
@@ -221,7 +222,13 @@
             # On a connection on which a reply was lost, no later reply arrives either, so the next
             # call must open another connection.
             self.connection.disconnect()
-            raise StoreError(StoreProblem.UNREACHABLE, str(error)) from None
+            # A call that took much longer than its limit shows that this host was short of time.
+            took_ms = round((time.monotonic() - begun_at) * 1000)
+            kind = "kept" if self.connection.reused else "new"
+            raise StoreError(
+                StoreProblem.UNREACHABLE,
+                f"{error} ({kind} connection, {took_ms} ms of {round(timeout_s * 1000)} ms)",
+            ) from None
         if reply.status != 200:
             # The status may be that of an earlier call, and the reply to this one may follow.
             self.connection.disconnect()
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -311,7 +311,17 @@
             not whole and any(self.is_deferred_elsewhere(item) for item in changes)
         ):
             self.deferral.defer(now=now)
-        return self.deferral.due_changes(changes, now=now)
+        deferred_before = len(self.deferral.deletions)
+        due = self.deferral.due_changes(changes, now=now)
+        deferred = len(self.deferral.deletions)
+        if deferred != deferred_before:
+            self.log.info(
+                "Deferred deletions changed.",
+                count=deferred,
+                before=deferred_before,
+                for_ms=round(max(0.0, self.deferral.until - now) * 1000),
+            )
+        return due
 
     def deletions_of_unlisted(
         self, items: Iterable[StoreItem], *, revision: int
