Refuse responses with a status that HTTP does not define

Callers saw (tried after a report about other systems): a server's response with status 000 and a body, followed by a proper one, reached the caller as one 200 with both bodies; 600 and 999 were passed on.

Cause: ResponseReader took each status below 200 for an interim one, and kept the body when the next message began. Nothing checked the upper end.

Change: a status outside 100 to 599 is a malformed response in ResponseReader and in the libcurl client, so also between hosts and from the store. The body is dropped with its message. A 101 with an upgrade raised an exception that the reader did not expect; it is a malformed response now.

The faulty answers of the replica stand-in had two Content-Length headers and were refused for that; they have one now, so that each test shows its fault.

Measured: 9 tests of test_response_reader.py (000, 099, 600, 999, each alone and before a 200; the 101) and, with the corrected stand-in, 3 of TestFaultyAnswers failed before and pass now. The tests of edge, platform, hostile servers and the stand-ins pass.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -160,9 +160,27 @@
         sock.sendall(data.replace(b"X-Request-Id: ", b"X-Request-Id: other"))
         return True
 
+    def with_status_000(self, sock, data):
+        sock.sendall(data.replace(b"HTTP/1.1 200", b"HTTP/1.1 000"))
+        # The connection stays open, and the regular answer follows.
+        return False
+
+    def with_status_999(self, sock, data):
+        sock.sendall(data.replace(b"HTTP/1.1 200", b"HTTP/1.1 999"))
+        return False
+
     @pytest.mark.parametrize(
         "fault",
-        ["truncated", "garbage", "reset", "doubled", "without_proof", "of_another_request"],
+        [
+            "truncated",
+            "garbage",
+            "reset",
+            "doubled",
+            "without_proof",
+            "of_another_request",
+            "with_status_000",
+            "with_status_999",
+        ],
     )
     def test_no_invalid_answer_reaches_the_caller(self, fleet, fault):
         """Guards against an invalid answer that is merged, or left on the connection for the
@@ -173,7 +191,10 @@
             reply, problem = send_search(fleet, f"{fault}{number}")
             assert problem is None, reply.headers
 
-    @pytest.mark.parametrize("fault", ["truncated", "garbage", "reset", "without_proof"])
+    @pytest.mark.parametrize(
+        "fault",
+        ["truncated", "garbage", "reset", "without_proof", "with_status_000", "with_status_999"],
+    )
     def test_a_booking_with_an_invalid_answer_runs_once_and_is_not_refused(self, fleet, fault):
         """Guards against a second run, or a refusal, after a booking has run and its answer is
         invalid.
--- a/src/rhubarbway/edge/http_call.py
+++ b/src/rhubarbway/edge/http_call.py
@@ -14,6 +14,10 @@
 # Begin of a status line. Within a header or a reason phrase it is the begin of another response:
 # the bytes before it belong to one that was cut off.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
+# First line of a head with a status that HTTP defines (RFC 9110, section 15): 100 to 599.
+VALID_STATUS_LINE = re.compile(rb"HTTP/[0-9.]+ [1-5][0-9]{2}[ \r\n]")
+FIRST_STATUS = 100
+LAST_STATUS = 599
 # TCP keepalive probes start after 1 s without traffic; a peer that does not acknowledge them is
 # given up after about 3 s. ``TCP_USER_TIMEOUT`` is in milliseconds, the other times in seconds.
 KEEPALIVE_OPTIONS = (
--- a/src/rhubarbway/edge/http_client.py
+++ b/src/rhubarbway/edge/http_client.py
@@ -21,6 +21,7 @@
     HEAD_LIMIT_BYTES,
     KEEPALIVE_OPTIONS,
     REPLY_LIMIT_BYTES,
+    VALID_STATUS_LINE,
     CallError,
     Reply,
     UnexpectedDataListener,
@@ -215,14 +216,16 @@
     def collect_head(self, line: bytes) -> int | None:
         """Collect a line of a head or trailer.
 
-        For a line beyond the limit, or one that two responses share, -1 makes libcurl abort.
+        For a line beyond the limit, one that two responses share, or a status that HTTP does not
+        define, -1 makes libcurl abort.
         """
         if self.head_buffer.tell() + len(line) > HEAD_LIMIT_BYTES:
             self.head_malformed = True
             return -1
         # libcurl accepts a status line in the place of a header, or behind the begin of another.
         begins_head = line.startswith(b"HTTP/") and self.expects_status_line()
-        if holds_status_line(line[1:] if begins_head else line):
+        is_valid = not begins_head or VALID_STATUS_LINE.match(line)
+        if not is_valid or holds_status_line(line[1:] if begins_head else line):
             self.head_malformed = True
             return -1
         self.head_buffer.write(line)
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -5,7 +5,9 @@
 import httptools
 
 from rhubarbway.edge.http_call import (
+    FIRST_STATUS,
     HEAD_LIMIT_BYTES,
+    LAST_STATUS,
     REPLY_LIMIT_BYTES,
     Reply,
     holds_status_line,
@@ -60,6 +62,7 @@
         "header_count",
         "headers",
         "holds_other_response",
+        "invalid_status",
         "interim_read",
         "parser",
         "reason",
@@ -78,6 +81,8 @@
         self.body = bytearray()
         self.received_bytes = 0
         self.status = 0
+        # Status outside the range that HTTP defines; None if there was none.
+        self.invalid_status: int | None = None
         # Reason phrase, and whether a status line was found within the head or the trailers.
         self.reason = b""
         self.holds_other_response = False
@@ -103,11 +108,13 @@
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.reusable = False
             self.trailing_data = self.complete
             if not self.complete:
                 raise ResponseError(str(error)) from None
+        if self.invalid_status is not None:
+            raise ResponseError(f"the status {self.invalid_status:03d} is not defined")
         if self.holds_other_response:
             raise ResponseError("the response is cut off, and another one follows")
         self.check_limits()
@@ -168,6 +175,7 @@
         self.trailing_data = self.complete
         if not self.complete:
             self.headers.clear()
+            self.body.clear()
             self.head_read = False
             self.reason = b""
 
@@ -191,10 +199,13 @@
             self.headers.append((name.decode("latin-1"), text))
 
     def on_headers_complete(self) -> None:
-        """Store the status; statuses below 200 are interim responses."""
+        """Store the status; statuses from 100 to 199 are interim responses."""
         if self.complete:
             return
         self.status = self.parser.get_status_code()
+        if not FIRST_STATUS <= self.status <= LAST_STATUS:
+            self.invalid_status = self.status
+            return
         self.holds_other_response = self.holds_other_response or holds_status_line(self.reason)
         self.head_read = self.status >= 200
         self.interim_read = self.interim_read or not self.head_read
--- a/src/rhubarbway/edge/tests/test_http_client.py
+++ b/src/rhubarbway/edge/tests/test_http_client.py
@@ -369,6 +369,19 @@
         server.stop()
 
 
+class TestUndefinedStatus:
+    @pytest.mark.parametrize("status", [b"000", b"600", b"999"])
+    def test_is_no_response(self, client_class, status):
+        """Guards against a broken status that a caller gets as an answer."""
+        server = ScriptedServer(WHOLE_RESPONSES[0].replace(b"200", status) + WHOLE_RESPONSES[0])
+        client = client_class(address=server.address)
+        with pytest.raises(CallError) as raised:
+            call(client, "GET", b"")
+        assert raised.value.sent and raised.value.malformed
+        client.disconnect()
+        server.stop()
+
+
 class TestEndlessResponse:
     @pytest.mark.parametrize(
         ("begin", "repeat"), ENDLESS_RESPONSES.values(), ids=list(ENDLESS_RESPONSES)
--- a/src/rhubarbway/edge/tests/test_response_reader.py
+++ b/src/rhubarbway/edge/tests/test_response_reader.py
@@ -113,6 +113,7 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na",
             b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
             b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nzz",
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
         ],
     )
     def test_bytes_that_are_no_response_are_an_error(self, data):
@@ -120,6 +121,15 @@
         with pytest.raises(ResponseError):
             read(data)
 
+    @pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+    @pytest.mark.parametrize("following", [b"", WITH_LENGTH])
+    def test_a_status_that_http_does_not_define_is_an_error(self, status, following):
+        """Guards against the body of such a response in front of that of the next one (MIXED)."""
+        first = WITH_LENGTH.replace(b"200", status.encode())
+        for size in (1, len(first + following)):
+            with pytest.raises(ResponseError):
+                read(first + following, size=size)
+
     def test_a_long_body_is_an_error(self, monkeypatch):
         """Guards against a response that fills the memory."""
         monkeypatch.setattr(response_reader, "REPLY_LIMIT_BYTES", 4)
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -221,8 +221,11 @@
 
     def apply_fault(self, request: Request, response: Response, body: bytes) -> None:
         """Pass the encoded response to the fault; close the connection if it returns True."""
-        lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}"]
-        lines += [f"{name}: {value}" for name, value in response.headers.items()]
+        # The headers include the length of the body; a second one would make the answer malformed.
+        lines = [
+            "HTTP/1.1 200 OK",
+            *(f"{name}: {value}" for name, value in response.headers.items()),
+        ]
         sock = request.environ[SOCKET_KEY]
         assert self.fault is not None
         if self.fault(sock, "\r\n".join([*lines, "", ""]).encode() + body):
