Send an attempt that is queued while the last connection ends

Change: a task that is told to end takes what has been queued meanwhile.

Measured: TestEndingConnection (no connection is kept idle, so that each task ends) failed before, with no outcome in 5 s, and passes now; the tests of the services, of caller memory, waiting requests and the gateway pass.

--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -333,7 +333,7 @@
             self.connect(connection)
             with self.lock:
                 attempt = self.take_queued_or_become_idle(connection)
-            attempt = attempt or connection.inbox.get()
+            attempt = attempt or connection.inbox.get() or self.end_connection(connection)
         while attempt is not None:
             outcome = self.run_attempt_safely(connection, attempt)
             with self.lock:
@@ -345,9 +345,20 @@
             del attempt, outcome
             attempt = next_attempt or connection.inbox.get()
             del next_attempt
-        with self.lock:
-            self.connection_count -= 1
+            if attempt is None:
+                attempt = self.end_connection(connection)
+
+    def end_connection(self, connection: ServerConnection) -> ServerAttempt | None:
+        """Close a connection whose task is told to end, and let the task end.
+
+        Returns an attempt instead if one has been queued meanwhile: it counts on this task.
+        """
         connection.http.disconnect()
+        with self.lock:
+            attempt = self.take_queued()
+            if attempt is None:
+                self.connection_count -= 1
+        return attempt
 
     def record_end(self, attempt: ServerAttempt, outcome: ExchangeOutcome) -> None:
         """Record the end of an attempt that had a connection; the caller holds the lock."""
--- a/src/rhubarbway/services/tests/test_server_pool.py
+++ b/src/rhubarbway/services/tests/test_server_pool.py
@@ -1,5 +1,6 @@
-"""Tests of cancellations that come after the end of their attempt on a shared connection."""
+"""Tests of what happens to a shared connection while an attempt on it ends."""
 
+import queue
 import threading
 import time
 
@@ -162,3 +163,25 @@
         gated_pool.gate.set()
         task.join()
         assert [outcome.end for outcome in gated_pool.outcomes] == [ExchangeEnd.ANSWERED]
+
+
+class EndingTasks(ConnectionTasks):
+    """Keeps no connection idle, so that each task ends when no attempt is queued."""
+
+    def try_keep_idle(self, connection, pool):
+        return False
+
+
+class TestEndingConnection:
+    def test_an_attempt_submitted_while_the_connection_ends_is_sent(self, gated_pool):
+        """Guards against an attempt that waits in a pool whose last connection has just ended."""
+        pool = gated_pool.pool
+        gated_pool.gate.set()
+        first, second = gated_pool.attempt(), gated_pool.attempt()
+        second.number = 2
+        delivered = queue.SimpleQueue()
+        second.deliver = delivered.put
+        pool.tasks = EndingTasks(limit=4)
+        first.deliver = lambda outcome: pool.submit(second)
+        pool.submit(first)
+        assert delivered.get(timeout=WAIT_S).end is ExchangeEnd.ANSWERED
