List the store when the changes exceed one of its replies

Cause: a watch returns each version in full; beyond the limit on replies the reader repeated the watch, whose reply could only grow.

Change: a reply that is too large is a problem of its own, by which the reader lists the store, as it does when the changes are gone. A list that fails in the same way is a failed call, with its delay.

--- a/proofs/test_gateway.py
+++ b/proofs/test_gateway.py
@@ -323,6 +323,21 @@
                 lambda number=number: fleet.version(number) == fleet.site.version, timeout_s=3.0
             )
 
+    def test_versions_that_exceed_a_reply_of_the_store_are_listed(self, fleet):
+        """Guards against hosts that repeat a watch whose reply is too large, and follow the store
+        no more.
+        """
+        fleet.site.publish(fleet.site.configuration())
+        # Within the delay after a watch with changes, so that the next one returns all of these.
+        for _ in range(6):
+            # Fields that the gateway does not know are ignored.
+            fleet.site.publish(fleet.site.configuration() | {"notes": "n" * 900_000})
+        for number in range(2):
+            wait_until(
+                lambda number=number: fleet.version(number) == fleet.site.version,
+                timeout_s=APPLY_LIMIT_S,
+            )
+
     def test_a_store_that_lost_its_history_is_listed_again(self, fleet):
         """Guards against hosts that get no changes any more: a store that has lost its history
         cannot return the changes after their revision, so they have to list all its items.
--- a/src/rhubarbway/edge/exchange_connection.py
+++ b/src/rhubarbway/edge/exchange_connection.py
@@ -28,6 +28,7 @@
 from rhubarbway.edge.response_reader import (
     ResponseError,
     ResponseReader,
+    ResponseTooLargeError,
     TruncatedResponseError,
 )
 from rhubarbway.edge.sent_bytes import ReportMismatch, SentBytes, ignore_mismatch
@@ -228,6 +229,7 @@
             unread=isinstance(error, NoMemoryError),
             malformed=isinstance(error, ResponseError)
             and not isinstance(error, TruncatedResponseError),
+            too_large=isinstance(error, ResponseTooLargeError),
         )
 
     def connected_socket(
--- a/src/rhubarbway/edge/http_call.py
+++ b/src/rhubarbway/edge/http_call.py
@@ -86,6 +86,8 @@
     silent : bool
         True if the head of the request was not acknowledged in time, so that the rest was not
         sent. Only an ``ExchangeConnection`` that asks for an acknowledgement sets it.
+    too_large : bool
+        True if the body of the response exceeds the limit. Only an ``ExchangeConnection`` sets it.
     unread : bool
         True if this host had no memory to read the response, which is no fault of the server.
     """
@@ -100,6 +102,7 @@
         malformed: bool = False,
         silent: bool = False,
         unread: bool = False,
+        too_large: bool = False,
     ) -> None:
         super().__init__(detail)
         self.sent = sent
@@ -108,6 +111,7 @@
         self.malformed = malformed
         self.silent = silent
         self.unread = unread
+        self.too_large = too_large
 
 
 def holds_status_line(value: bytes) -> bool:
--- a/src/rhubarbway/edge/response_reader.py
+++ b/src/rhubarbway/edge/response_reader.py
@@ -27,6 +27,10 @@
     """Raised when the connection ends before the response is complete."""
 
 
+class ResponseTooLargeError(ResponseError):
+    """Raised when the body of a response exceeds the limit."""
+
+
 class ResponseReader:
     """Collects one response; ``httptools`` parses it and calls the ``on_...`` methods.
 
@@ -133,15 +137,15 @@
         framing_bytes = 0 if self.complete else self.received_bytes - body_bytes
         framing_limit = HEAD_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * body_bytes
         checks = (
-            ("body", body_bytes, REPLY_LIMIT_BYTES, "bytes"),
-            ("head and framing", framing_bytes, framing_limit, "bytes"),
-            ("head", self.header_count, HEADER_LINE_LIMIT, "lines"),
+            ("body", body_bytes, REPLY_LIMIT_BYTES, "bytes", ResponseTooLargeError),
+            ("head and framing", framing_bytes, framing_limit, "bytes", ResponseError),
+            ("head", self.header_count, HEADER_LINE_LIMIT, "lines", ResponseError),
         )
-        for part, size, limit, unit in checks:
+        for part, size, limit, unit, error in checks:
             if size > limit:
                 self.headers.clear()
                 self.body.clear()
-                raise ResponseError(f"the {part} of the response exceeds {limit} {unit}")
+                raise error(f"the {part} of the response exceeds {limit} {unit}")
 
     def feed_eof(self) -> None:
         """Process the end of the connection, which also ends a body of unstated length.
--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -42,12 +42,14 @@
 
     ``UNREACHABLE`` means that no complete reply arrived. ``HISTORY_GONE`` is status 410: the store
     no longer has the changes after the requested revision. ``REFUSED`` is any other status but 200.
+    ``TOO_LARGE`` means that the reply exceeds the limit on replies.
     """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     HISTORY_GONE = "history_gone"
     BAD_BODY = "bad_body"
+    TOO_LARGE = "too_large"
 
 
 class StoreError(Exception):
@@ -162,7 +164,8 @@
         Raises
         ------
         StoreError
-            If the store gave no usable reply; ``HISTORY_GONE`` if it no longer has the changes.
+            If the store gave no usable reply; ``HISTORY_GONE`` if it no longer has the changes,
+            ``TOO_LARGE`` if they are more than a reply may hold.
         """
         wait_ms = int(wait_s * 1000)
         query = {"pathPrefix": prefix, "after": after_revision, "waitMs": wait_ms}
@@ -226,7 +229,7 @@
             took_ms = round((time.monotonic() - begun_at) * 1000)
             kind = "kept" if self.connection.reused else "new"
             raise StoreError(
-                StoreProblem.UNREACHABLE,
+                StoreProblem.TOO_LARGE if error.too_large else StoreProblem.UNREACHABLE,
                 f"{error} ({kind} connection, {took_ms} ms of {round(timeout_s * 1000)} ms)",
             ) from None
         if reply.status != 200:
--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -47,6 +47,9 @@
 BLINDNESS_S = 10.0
 # Interval at which a host checks whether it has become a reader, seconds.
 ROLE_CHECK_INTERVAL_S = 0.1
+# Problems of a watch that a list solves. A watch returns each version of a value in full, so quick
+# changes of a large one exceed a reply; a list has only the last version, in pages.
+LIST_PROBLEMS = frozenset({StoreProblem.HISTORY_GONE, StoreProblem.TOO_LARGE})
 # Interval of that check while the host has no copy and callers may wait, seconds.
 START_CHECK_INTERVAL_S = 0.02
 
@@ -104,7 +107,7 @@
     def read_store(self) -> None:
         """Task: while this host is a reader, watch the store from the revision of the copy."""
         retry_delay_s = INITIAL_RETRY_DELAY_S
-        history_gone = False
+        needs_list = False
         while not self.stopping.is_set():
             began_at = time.monotonic()
             was_answering = self.contact is StoreContact.ANSWERING
@@ -118,9 +121,9 @@
                 )
                 continue
             try:
-                if not self.registry.complete or history_gone:
+                if not self.registry.complete or needs_list:
                     self.list_store()
-                    history_gone = False
+                    needs_list = False
                 else:
                     self.watch_store()
                 self.record_store_answer()
@@ -128,11 +131,13 @@
                 if was_answering:
                     retry_delay_s = INITIAL_RETRY_DELAY_S
             except StoreError as error:
-                history_gone = history_gone or error.problem is StoreProblem.HISTORY_GONE
-                if error.problem is StoreProblem.HISTORY_GONE:
+                was_watch = self.registry.complete and not needs_list
+                if was_watch and error.problem in LIST_PROBLEMS:
+                    needs_list = True
                     self.log.info(
-                        "Store no longer keeps the required changes.",
+                        "Changes cannot be watched; listing the store.",
                         after=self.registry.watch_start(),
+                        problem=str(error),
                     )
                     continue
                 self.record_store_failure(error)
