Move outcomes and copy changes into modules of their own

The server pool, the registry and the forwarder had grown past the size at which they read well. A request that begins after the stop signal, such as one that a delegate gave back, is checked before anything is sent.

Measured: the tests of the services, decisions, waiting requests, delegation and gateway processes pass.

--- a/src/rhubarbway/decisions/tests/test_late_requests.py
+++ b/src/rhubarbway/decisions/tests/test_late_requests.py
@@ -61,8 +61,11 @@
             path_prefix="/",
             idempotent=idempotent,
             timeout_s=60.0,
-            target_latency_s=1.0,
+            target_latency_s=TARGET_S,
+        )
+        request = ForwardedRequest(
+            request_id="1", method="POST", target="/", host="h", received_at=0.0, deadline=limit_s
         )
         assert latest_send_at(
-            route, limit_at=limit_s, exchange_s=0.3, answer_by=LAST_ANSWER_S
+            request, route, exchange_s=0.3, answer_by=LAST_ANSWER_S
         ) == pytest.approx(latest_s)
--- a/src/rhubarbway/services/delegation.py
+++ b/src/rhubarbway/services/delegation.py
@@ -39,6 +39,7 @@
     ServerNotice,
 )
 from rhubarbway.services.caller_inbox import CallerInbox
+from rhubarbway.services.exchange_outcomes import make_outcome
 from rhubarbway.services.fleet import FleetService
 from rhubarbway.services.forwarding import ForwardingService
 from rhubarbway.services.log import component_logger
@@ -268,8 +269,8 @@
             answer_by = self.forwarding.stop_notice.answer_by
             if now >= answer_by:
                 ran = ExecutionStatus.NOT_RUN if attempt.cancel() else ExecutionStatus.UNKNOWN
-                return pool.make_outcome(
-                    attempt, ExchangeEnd.TIMED_OUT, ran, detail="this host stops"
+                return make_outcome(
+                    attempt, pool.server, ExchangeEnd.TIMED_OUT, ran, detail="this host stops"
                 )
             # The attempt ends by itself shortly after its deadline.
             outcomes = inbox.receive(min(max(0.0, deadline - now) + 1.0, answer_by - now))
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -36,11 +36,12 @@
 from rhubarbway.edge.sent_bytes import ReportMismatch, ignore_mismatch
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import CallerLimits
+from rhubarbway.services.copy_changes import Changes
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.feed_traffic import FeedTraffic
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import CRASHING_REQUESTS, REGISTRY, SERVERS
-from rhubarbway.services.registry import Changes, RegistryService
+from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.servers import ServerService
 from rhubarbway.services.unexpected_data import ReportUnexpectedData, ignore_report
 
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -27,6 +27,7 @@
 from rhubarbway.platform.configuration import CONFIGURATION_KEY, routing_table_from_json
 from rhubarbway.platform.evacuation_keys import EVACUATION_KEY_PREFIX, evacuated_zone
 from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
+from rhubarbway.services.copy_changes import Changes
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING, SERVERS
 from rhubarbway.services.routing import RoutingService
@@ -43,61 +44,6 @@
     return key.startswith(SERVER_KEY_PREFIX)
 
 
-class Changes:
-    """Changes of the copy for a follower.
-
-    Parameters
-    ----------
-    items : sequence of StoreItem
-        Changed items, with value None for a deletion.
-    revision : int
-        Revision of the store up to which the copy contains all changes, except deferred deletions.
-    sequence : int
-        Sequence number of the newest change of the copy.
-    whole : bool
-        Whether ``items`` are all items of a complete copy, so that keys missing from it were
-        deleted.
-    complete : bool
-        Whether the copy is complete; items of the store may be missing from an incomplete one.
-    confirmation : Confirmation
-        The last answer by which the store confirmed that the copy is current.
-    settled_revision, deletions_known_after : int
-        Those of the copy (``StoreCopy``).
-    """
-
-    __slots__ = (
-        "complete",
-        "confirmation",
-        "deletions_known_after",
-        "items",
-        "revision",
-        "sequence",
-        "settled_revision",
-        "whole",
-    )
-
-    def __init__(
-        self,
-        *,
-        items: Sequence[StoreItem],
-        revision: int,
-        sequence: int,
-        whole: bool,
-        complete: bool,
-        confirmation: Confirmation | None = None,
-        settled_revision: int = 0,
-        deletions_known_after: int = 0,
-    ) -> None:
-        self.complete = complete
-        self.confirmation = confirmation or Confirmation()
-        self.settled_revision = settled_revision
-        self.deletions_known_after = deletions_known_after
-        self.items = items
-        self.revision = revision
-        self.sequence = sequence
-        self.whole = whole
-
-
 class RegistryService:
     """Holds the copy of the store, and puts what changes in it into force.
 
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -33,10 +33,10 @@
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.forwarding_log import log_decision, slowest_shards
 from rhubarbway.services.server_attempt import ServerAttempt
-from rhubarbway.services.server_choice import best_pool, expected_latency_s
+from rhubarbway.services.server_choice import best_pool, expected_latency_s, least_latency_s
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shard_progress import ShardProgress
-from rhubarbway.services.stopping_requests import expected_send_at
+from rhubarbway.services.stopping_requests import expected_send_at, log_refused_wait
 
 # Extra attempts that a hedge must leave in the retry budget, so that hedges for slow servers do not
 # use up the retries that lost requests need.
@@ -127,6 +127,9 @@
 
     def run(self) -> ForwardedAnswer | None:
         """Forward the request and return the answer, or None if the caller has disconnected."""
+        refused = self.refuse_if_stopping(self.context.clock())
+        if refused is not None:
+            return refused
         plan = plan_arrival(
             self.context,
             self.request,
@@ -169,23 +172,16 @@
         answer_by = self.context.stop_notice.answer_by
         if answer_by == float("inf"):
             return None
-        request = self.request
         send_at = expected_send_at(self.shards.values(), now=now)
         if send_at is not None:
             self.stop_check_at = latest_send_at(
+                self.request,
                 self.route,
-                limit_at=min(request.deadline, request.received_at + self.route.timeout_s),
                 exchange_s=self.context.exchange_s(self.route),
                 answer_by=answer_by,
             )
             if send_at > self.stop_check_at and self.cancel_all_attempts():
-                self.context.log.info(
-                    "Waiting request refused: the host stops.",
-                    request_id=request.request_id,
-                    route=self.route.name,
-                    waited_ms=round((now - request.received_at) * 1000),
-                    expected_wait_ms=round((send_at - now) * 1000),
-                )
+                log_refused_wait(self.context, self.request, self.route, now=now, send_at=send_at)
                 return refusal("this host stops", random=self.context.random)
         self.deadline = min(self.deadline, answer_by)
         self.attempt_deadline = min(self.attempt_deadline, answer_by)
@@ -247,15 +243,7 @@
         pool = self.best_pool(shard, now)
         if pool is None or pool.state.is_ejected(now):
             return None
-        load = pool.state.load
-        # Not more slowly than usual: the pace of a few exchanges does not prove a lack of time.
-        wait_s = load.wait_s(
-            priority=self.route.priority,
-            max_connections=pool.state.max_connections,
-            pace=min(1.0, load.current_pace(now)),
-            now=now,
-        )
-        needed_s = wait_s + self.context.exchange_s(self.route) if wait_s > 0.0 else 0.0
+        needed_s = least_latency_s(self.context, self.route, pool, now=now)
         return pool if now + needed_s < self.attempt_deadline else None
 
     def expected_latency_s(self, pool: ServerPool, now: float) -> float:
--- a/src/rhubarbway/services/server_choice.py
+++ b/src/rhubarbway/services/server_choice.py
@@ -7,6 +7,7 @@
 from rhubarbway.decisions import replica_ranking
 from rhubarbway.decisions.delegation import CROSS_ZONE_ROUND_TRIP_S
 from rhubarbway.decisions.replica_ranking import RankingView
+from rhubarbway.model import Route
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.server_pool import ServerPool
 
@@ -62,3 +63,22 @@
         now=now,
     )
     return replica_ranking.expected_latency_s(pool.state, view)
+
+
+def least_latency_s(
+    context: ForwardingContext, route: Route, pool: ServerPool, *, now: float
+) -> float:
+    """Return the least latency of a request that would have to wait for a server, seconds.
+
+    The wait is estimated not more slowly than usual, since the pace of a few exchanges does not
+    prove that there is no time. Without a wait the server decides how long it takes, and the result
+    is 0.
+    """
+    load = pool.state.load
+    wait_s = load.wait_s(
+        priority=route.priority,
+        max_connections=pool.state.max_connections,
+        pace=min(1.0, load.current_pace(now)),
+        now=now,
+    )
+    return wait_s + context.exchange_s(route) if wait_s > 0.0 else 0.0
--- a/src/rhubarbway/services/server_pool.py
+++ b/src/rhubarbway/services/server_pool.py
@@ -27,10 +27,14 @@
     ExchangeEnd,
     ExchangeOutcome,
     ExecutionStatus,
-    ReplicaReply,
     ServerNotice,
 )
 from rhubarbway.services.connection_tasks import ConnectionTasks
+from rhubarbway.services.exchange_outcomes import (
+    make_outcome,
+    outcome_of_error,
+    outcome_of_reply,
+)
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.server_codec import ServerCodec
@@ -276,8 +280,8 @@
             (time.monotonic() < self.state.quiet_until, "the server asked for quiet"),
         )
         detail = next((text for applies, text in reasons if applies), "the server is cold")
-        return self.make_outcome(
-            attempt, ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN, detail=detail
+        return make_outcome(
+            attempt, self.server, ExchangeEnd.WITHDRAWN, ExecutionStatus.NOT_RUN, detail=detail
         )
 
     def close(self) -> None:
@@ -416,8 +420,12 @@
         except Exception:
             self.log.exception("Internal error in an attempt.", server=self.server.id)
             connection.http.disconnect()
-            return self.make_outcome(
-                attempt, ExchangeEnd.LOST, ExecutionStatus.UNKNOWN, detail="internal error"
+            return make_outcome(
+                attempt,
+                self.server,
+                ExchangeEnd.LOST,
+                ExecutionStatus.UNKNOWN,
+                detail="internal error",
             )
 
     def run_attempt(self, connection: ServerConnection, attempt: ServerAttempt) -> ExchangeOutcome:
@@ -435,10 +443,16 @@
         remaining_s = attempt.deadline - now
         attempt.waiting_since = attempt.waiting_since or now
         if attempt.cancelled:
-            return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
+            return make_outcome(
+                attempt, self.server, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN
+            )
         if remaining_s <= 0.0:
-            return self.make_outcome(
-                attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN, detail="no time left"
+            return make_outcome(
+                attempt,
+                self.server,
+                ExchangeEnd.CANCELLED,
+                ExecutionStatus.NOT_RUN,
+                detail="no time left",
             )
         if not self.try_acquire(now):
             return self.withdrawn_outcome(attempt)
@@ -448,7 +462,9 @@
         attempt.connection = http
         try:
             if attempt.cancelled:
-                return self.make_outcome(attempt, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN)
+                return make_outcome(
+                    attempt, self.server, ExchangeEnd.CANCELLED, ExecutionStatus.NOT_RUN
+                )
             attempt.sent_at = time.monotonic()
             reply = http.exchange(
                 request.method,
@@ -464,14 +480,14 @@
         except CallError as error:
             connection.reusable_until = float("inf")
             self.record_call_error(error, is_new=is_new)
-            return self.outcome_of_error(attempt, error)
+            return outcome_of_error(attempt, self.server, error)
         finally:
             attempt.connection = None
         decoded = self.codec.decode(reply, request)
         if decoded is None:
             # Its notice is old, too: a time that begins with it would begin again.
             http.disconnect()
-            return self.make_outcome(attempt, ExchangeEnd.FOREIGN, ExecutionStatus.UNKNOWN)
+            return make_outcome(attempt, self.server, ExchangeEnd.FOREIGN, ExecutionStatus.UNKNOWN)
         notice = self.codec.decode_notice(reply)
         if notice is not None:
             self.handle_notice(self, notice)
@@ -482,7 +498,7 @@
             if decoded.idle_timeout_s is None
             else time.monotonic() + max(0.0, decoded.idle_timeout_s - IDLE_CLOSE_MARGIN_S)
         )
-        return self.outcome_of_reply(attempt, decoded)
+        return outcome_of_reply(attempt, self.server, decoded)
 
     def try_acquire(self, now: float) -> bool:
         """Return whether a request may be sent now; count it if the server is cold."""
@@ -501,54 +517,3 @@
             self.report_reset(self.server)
         if isinstance(error, RefusedCallError) and self.state.cold_limit.is_limited():
             self.set_cold_for(RESTART_NOTICE_S)
-
-    def outcome_of_reply(self, attempt: ServerAttempt, reply: ReplicaReply) -> ExchangeOutcome:
-        """Return the outcome of a call that got a complete reply."""
-        if reply.misdirected:
-            return self.make_outcome(
-                attempt, ExchangeEnd.MISDIRECTED, ExecutionStatus.NOT_RUN, reply=reply
-            )
-        if reply.ran is ExecutionStatus.NOT_RUN:
-            return self.make_outcome(
-                attempt, ExchangeEnd.REFUSED, ExecutionStatus.NOT_RUN, reply=reply
-            )
-        end = ExchangeEnd.FAILED if reply.is_failure else ExchangeEnd.ANSWERED
-        return self.make_outcome(attempt, end, ExecutionStatus.RUN, reply=reply)
-
-    def outcome_of_error(self, attempt: ServerAttempt, error: CallError) -> ExchangeOutcome:
-        """Return the outcome of a call that ended without a complete reply."""
-        ran = ExecutionStatus.UNKNOWN if error.sent else ExecutionStatus.NOT_RUN
-        end = ExchangeEnd.LOST if error.sent else ExchangeEnd.CONNECT_FAILED
-        if error.timed_out and error.sent:
-            end = ExchangeEnd.TIMED_OUT
-        if error.silent:
-            end = ExchangeEnd.SILENT
-        if error.unread:
-            end = ExchangeEnd.UNREAD
-        if error.malformed:
-            end = ExchangeEnd.MALFORMED
-        if attempt.cancelled:
-            end = ExchangeEnd.CANCELLED
-        return self.make_outcome(attempt, end, ran, detail=str(error))
-
-    def make_outcome(
-        self,
-        attempt: ServerAttempt,
-        end: ExchangeEnd,
-        ran: ExecutionStatus,
-        *,
-        reply: ReplicaReply | None = None,
-        detail: str = "",
-    ) -> ExchangeOutcome:
-        """Return an outcome with the latency and the names of the attempt and the server."""
-        return ExchangeOutcome(
-            attempt=attempt.number,
-            shard=attempt.shard,
-            server=self.server.id,
-            server_started_ms=self.server.started_ms,
-            end=end,
-            ran=ran,
-            latency_s=time.monotonic() - attempt.latency_start,
-            reply=reply,
-            detail=detail,
-        )
--- a/src/rhubarbway/services/stopping_requests.py
+++ b/src/rhubarbway/services/stopping_requests.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable
 
-from rhubarbway.model import ExecutionStatus
+from rhubarbway.model import ExecutionStatus, ForwardedRequest, Route
+from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.shard_progress import ShardProgress
 
@@ -31,3 +32,21 @@
                 return None
             waits.append(queued_wait_s(attempt, now=now))
     return now + min(waits, default=0.0)
+
+
+def log_refused_wait(
+    context: ForwardingContext,
+    request: ForwardedRequest,
+    route: Route,
+    *,
+    now: float,
+    send_at: float,
+) -> None:
+    """Log that a request is refused which would have been sent at ``send_at``."""
+    context.log.info(
+        "Waiting request refused: the host stops.",
+        request_id=request.request_id,
+        route=route.name,
+        waited_ms=round((now - request.received_at) * 1000),
+        expected_wait_ms=round((send_at - now) * 1000),
+    )
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -14,9 +14,10 @@
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import StoreItem
 from rhubarbway.services import fleet as module
+from rhubarbway.services.copy_changes import Changes
 from rhubarbway.services.crashing_requests import CrashingRequestService
 from rhubarbway.services.fleet import FleetService
-from rhubarbway.services.registry import Changes, RegistryService
+from rhubarbway.services.registry import RegistryService
 
 TIMEOUT_S = 5.0
 
