Test an undefined status of the store and of another host

The reports of a status of 000 concerned replicas; the store's answers and those of other hosts go through the same reader, which had been tried with bytes only.

--- a/src/rhubarbway/platform/tests/test_store.py
+++ b/src/rhubarbway/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rhubarbway.platform.store import StoreClient, StoreError
+from rhubarbway.platform.store import StoreClient, StoreError, StoreProblem
 from rhubarbway_standins.stuttering_server import STUTTERS, StutteringServer, response
 
 PAGE_KEYS = (["a", "b"], ["c", "d"], ["e"])
@@ -155,3 +155,17 @@
         assert store.watch(5) == ([], 7)
         assert store.watch(7) == ([], 7)
         assert len(store.server.requests) == 3
+
+
+class TestUndefinedStatus:
+    @pytest.mark.parametrize("status", ["000 X", "999 X"])
+    def test_is_no_answer_of_the_store(self, start, status):
+        """Guards against items of a broken reply of the store in front of those of the next."""
+        store = start("idle", events=[6], repeats=lambda number: False)
+        reply = store.server.answer
+        store.server.answer = lambda head, body: (
+            response(b'{"events": [], "atRev": 9}', status=status) + reply(head, body)
+        )
+        with pytest.raises(StoreError) as raised:
+            store.watch(5)
+        assert raised.value.problem is StoreProblem.UNREACHABLE
--- a/src/rhubarbway/services/tests/test_second_feed_reply.py
+++ b/src/rhubarbway/services/tests/test_second_feed_reply.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rhubarbway.edge import feed_wire
+from rhubarbway.edge.exchange_connection import ExchangeConnection
 from rhubarbway.edge.http_client import CallError, HttpConnection
 from rhubarbway.services.fleet import EXPECTED_POLL_ERRORS
 from rhubarbway.services.tests.test_fleet import fleet_with_copy, wire_member
@@ -68,3 +69,23 @@
         finally:
             connection.disconnect()
             host.server.stop()
+
+
+class TestUndefinedStatus:
+    @pytest.mark.parametrize("status", ["000 X", "999 X"])
+    @pytest.mark.parametrize("connection_class", [ExchangeConnection, HttpConnection])
+    def test_is_no_reply_of_a_host(self, connection_class, status):
+        """Guards against a copy of the store that comes from a broken reply of another host."""
+        host = StutteringHost(STUTTERS["idle"])
+        reply = host.server.answer
+        host.server.answer = lambda head, body: reply(head, body).replace(
+            b"200 OK", status.encode(), 1
+        )
+        connection = connection_class(address=host.server.address)
+        try:
+            with pytest.raises(CallError) as raised:
+                fleet_with_copy(1, [], revision=1).poll_feed(connection, source="", after=0)
+            assert raised.value.malformed
+        finally:
+            connection.disconnect()
+            host.server.stop()
--- a/src/rhubarbway/services/tests/test_withdrawn_attempts.py
+++ b/src/rhubarbway/services/tests/test_withdrawn_attempts.py
@@ -1,10 +1,11 @@
 """Tests of attempts that wait for a server which drains, without a network."""
 
+import copy
 import time
 
 import pytest
 
-from rhubarbway.model import BackendServer, ExchangeEnd, ExecutionStatus
+from rhubarbway.model import ExchangeEnd, ExecutionStatus
 from rhubarbway.services.servers import DEFAULT_CONNECTION_LIMIT
 from rhubarbway.services.tests.test_request_forwarder import (
     Scenario,
@@ -29,17 +30,9 @@
 
 
 def drain(running):
-    running.register(
-        BackendServer(
-            id=SERVER.id,
-            service=SERVER.service,
-            address=SERVER.address,
-            zone=SERVER.zone,
-            slots=SERVER.slots,
-            started_ms=SERVER.started_ms,
-            draining=True,
-        )
-    )
+    draining = copy.copy(SERVER)
+    draining.draining = True
+    running.register(draining)
 
 
 def remove(running):
