--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -467,8 +467,11 @@
     def close(self) -> None:
         for gateway in self.gateways:
             gateway.end()
-        for replica in self.replicas.values():
-            replica.end()
+        ends = [threading.Thread(target=replica.end) for replica in self.replicas.values()]
+        for end in ends:
+            end.start()
+        for end in ends:
+            end.join()
         self.store.close()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
