Log and count deferred deletions and why servers are withdrawn

When a removed server still got requests, no line said which host had read its removal, why the deletion was held back, since when, or for what reason other servers had left.

New lines: Deletions deferred (servers, reason, time), Deferral of deletions ended (end, longest time), Attempt at a server whose deletion is deferred (with the age of the copy), Servers withdrawn (reason). New metrics: rhubarbway_deferred_deletions, rhubarbway_deletion_deferral_seconds, rhubarbway_deleted_server_attempts_total. When deletions are applied is unchanged.

--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -87,6 +87,9 @@
         Limit of connections from this host to the server; further attempts wait for a free one.
     is_first_hand : bool
         Whether the slowness comes from requests of this host, not from a report of another host.
+    deletion_known_since : float or None
+        Instant at which this host learned that the entry of the server was deleted, if the deletion
+        is deferred; None otherwise.
     leaving : bool
         Whether the server has announced that it leaves.
     evacuated : bool
@@ -106,6 +109,7 @@
 
     __slots__ = (
         "cold_limit",
+        "deletion_known_since",
         "ejected_until",
         "consecutive_ejections",
         "last_failure_at",
@@ -146,6 +150,7 @@
         self.last_failure_at = float("-inf")
         self.ejected_until = float("-inf")
         self.consecutive_ejections = 0
+        self.deletion_known_since: float | None = None
         self.leaving = False
         self.evacuated = False
         self.needs_connection = False
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -174,6 +174,11 @@
             )
         ),
     )
+    registry.deferral.change_listeners += [
+        servers.set_deferred_deletions,
+        lambda known_since: metrics.deletions.set_deferred(len(known_since)),
+    ]
+    registry.deferral.end_listeners.append(metrics.deletions.observe_deferral)
     registry.invalid_item_listeners.append(metrics.count_invalid_item)
     registry.confirmation_listeners.append(metrics.set_copy_confirmed)
     fleet = FleetService(
--- /dev/null
+++ b/src/rhubarbway/services/deletion_deferral.py
@@ -0,0 +1,188 @@
+"""Deletions of server entries that this host has read and holds back, with their log and metrics.
+
+An entry may have lapsed in an outage of the store and be written again soon
+(``decisions.deferred_deletions``).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+from rhubarbway.decisions.deferred_deletions import (
+    DeferralEnd,
+    DeferralReason,
+    DeferredDeletion,
+    DeferredDeletions,
+    DueChanges,
+    is_mass_deletion,
+)
+from rhubarbway.decisions.store_copy import StoreCopy
+from rhubarbway.model import StoreItem
+from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
+from rhubarbway.services.log import SERVERS_PER_LINE, component_logger
+
+
+def is_server_key(key: str) -> bool:
+    """Return whether the value of a key describes a server, so that it may lapse."""
+    return key.startswith(SERVER_KEY_PREFIX)
+
+
+class DeletionDeferral:
+    """Tells the deletions to apply from those to hold back; the caller holds the registry's lock.
+
+    Parameters
+    ----------
+    store_copy : StoreCopy
+        The copy to which the changes are applied.
+    clock : callable
+        Returns the current instant.
+
+    Attributes
+    ----------
+    known : DeferredDeletions
+        The deletions that are held back.
+    end_listeners : list of callable
+        Called with ``reason``, ``end`` and ``seconds`` of each deferral that has ended.
+    change_listeners : list of callable
+        Called with the instants since which the deferred deletions are known, by server id, when
+        the set of these deletions changes.
+    """
+
+    __slots__ = ("change_listeners", "clock", "end_listeners", "known", "log", "store_copy")
+
+    def __init__(self, *, store_copy: StoreCopy, clock: Callable[[], float]) -> None:
+        self.store_copy = store_copy
+        self.clock = clock
+        self.known = DeferredDeletions(may_lapse=is_server_key)
+        self.end_listeners: list[Callable[..., None]] = []
+        self.change_listeners: list[Callable[[dict[str, float]], None]] = []
+        self.log = component_logger("registry")
+
+    def begin(self) -> None:
+        """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
+        self.known.defer(now=self.clock(), reason=DeferralReason.OUTAGE)
+
+    def changes_to_apply(
+        self, items: Sequence[StoreItem], *, whole: bool, revision: int
+    ) -> list[StoreItem]:
+        """Return the changes of the store to apply now, with deletions whose deferral has ended.
+
+        Parameters
+        ----------
+        items : sequence of StoreItem
+            Changes, or all items of the store if ``whole``.
+        whole : bool
+            Whether keys that ``items`` lacks were deleted.
+        revision : int
+            Revision of the store that was read.
+        """
+        now = self.clock()
+        changes = list(items)
+        if whole:
+            changes += self.deletions_of_unlisted(items, revision=revision)
+        if self.are_entries_lapsed(changes):
+            self.known.defer(now=now, reason=DeferralReason.MASS_DELETION)
+        elif not whole and any(self.is_deferred_elsewhere(item) for item in changes):
+            self.known.defer(now=now, reason=DeferralReason.OTHER_HOST)
+        due = self.known.due_changes(changes, now=now)
+        self.report(due, now=now)
+        return due.items
+
+    def report(self, due: DueChanges, *, now: float) -> None:
+        """Log the deferrals that have begun or ended, and pass them to the listeners."""
+        for reason in DeferralReason:
+            self.log_servers(
+                "Deletions deferred.",
+                [deletion for deletion in due.begun if deletion.reason is reason],
+                reason=reason.value,
+                for_ms=round(max(0.0, self.known.until - now) * 1000),
+            )
+        for end in DeferralEnd:
+            ended = [deletion for deletion, how in due.ended if how is end]
+            self.log_servers(
+                "Deferral of deletions ended.",
+                ended,
+                end=end.value,
+                longest_ms=round(
+                    max((now - deletion.known_since for deletion in ended), default=0.0) * 1000
+                ),
+            )
+        for deletion, end in due.ended:
+            for listener in self.end_listeners:
+                listener(
+                    reason=deletion.reason.value,
+                    end=end.value,
+                    seconds=now - deletion.known_since,
+                )
+        if due.begun or due.ended:
+            known_since = self.known_since()
+            for change_listener in self.change_listeners:
+                change_listener(known_since)
+
+    def known_since(self) -> dict[str, float]:
+        """Return the instants since which the deferred deletions are known, by server id."""
+        return {
+            key.removeprefix(SERVER_KEY_PREFIX): deletion.known_since
+            for key, deletion in self.known.deletions.items()
+        }
+
+    def log_servers(self, event: str, deletions: list[DeferredDeletion], **details) -> None:
+        """Log deletions, a limited number of servers in a line."""
+        for start in range(0, len(deletions), SERVERS_PER_LINE):
+            chunk = deletions[start : start + SERVERS_PER_LINE]
+            self.log.info(
+                event,
+                servers=[deletion.item.key.removeprefix(SERVER_KEY_PREFIX) for deletion in chunk],
+                deferred=len(self.known.deletions),
+                **details,
+            )
+
+    def deletions_of_unlisted(
+        self, items: Iterable[StoreItem], *, revision: int
+    ) -> list[StoreItem]:
+        """Return deletions of the keys that a list of the whole store lacks."""
+        listed = {item.key for item in items}
+        return [
+            StoreItem(key=key, value=None, revision=revision)
+            for key, known in self.store_copy.items.items()
+            if key not in listed and known.revision <= revision
+        ]
+
+    def are_entries_lapsed(self, changes: Iterable[StoreItem]) -> bool:
+        """Return whether changes delete so many entries that these have lapsed in an outage."""
+        deleted_keys = [
+            item.key for item in changes if item.value is None and self.is_serving(item.key)
+        ]
+        if not deleted_keys:
+            return False
+        serving = sum(self.is_serving(key) for key in self.store_copy.items)
+        if not is_mass_deletion(len(deleted_keys), serving=serving):
+            return False
+        self.log.warning(
+            "Many entries deleted at once; deletions deferred.",
+            count=len(deleted_keys),
+            of=serving,
+        )
+        return True
+
+    def is_deferred_elsewhere(self, item: StoreItem) -> bool:
+        """Return whether a change is a deletion that the host which sent this copy has deferred.
+
+        The copy has reached the revision of the deletion, and still holds the key. A deletion that
+        this host has deferred itself is not read again.
+        """
+        known = self.store_copy.items.get(item.key)
+        return (
+            item.value is None
+            and is_server_key(item.key)
+            and known is not None
+            and known.revision < item.revision <= self.store_copy.revision
+        )
+
+    def is_serving(self, key: str) -> bool:
+        """Return whether the entry of a key describes a server that is not draining."""
+        item = self.store_copy.items.get(key)
+        if item is None or item.value is None or not is_server_key(key):
+            return False
+        server = server_from_entry(key, item.value).value_or(None)
+        return server is not None and not server.draining
--- a/src/rhubarbway/services/forwarding.py
+++ b/src/rhubarbway/services/forwarding.py
@@ -22,7 +22,14 @@
 from rhubarbway.services.forwarding_context import ForwardingContext
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.metrics import MetricsService
-from rhubarbway.services.names import CRASHING_REQUESTS, INVARIANTS, METRICS, ROUTING, SERVERS
+from rhubarbway.services.names import (
+    CRASHING_REQUESTS,
+    INVARIANTS,
+    METRICS,
+    REGISTRY,
+    ROUTING,
+    SERVERS,
+)
 from rhubarbway.services.request_forwarder import RequestForwarder
 from rhubarbway.services.route_latencies import RouteLatencies
 from rhubarbway.services.routing import RoutingService
@@ -99,6 +106,8 @@
             random=self.random,
             expect=kernel.find(INVARIANTS).expect,
             log=self.log,
+            copy_age_s=kernel.find(REGISTRY).copy_age_s,
+            count_deleted_server_attempt=self.metrics.deletions.count_attempt,
             stop_notice=self.stop_notice,
         )
         self.routing.listeners.append(self.apply_table)
--- a/src/rhubarbway/services/forwarding_context.py
+++ b/src/rhubarbway/services/forwarding_context.py
@@ -54,6 +54,10 @@
         Reports an invariant that does not hold: ``expect(holds, name, **details)``.
     send_checks : SendChecks
         Checks the invariants of each attempt that is sent.
+    copy_age_s : callable
+        Returns the time since the store last confirmed this host's copy, seconds.
+    count_deleted_server_attempt : callable
+        Called with the ``service`` of an attempt at a server whose deletion is deferred.
     stop_notice : StopNotice
         Tells when this host begins to stop.
     log : logger
@@ -65,6 +69,8 @@
         "budget",
         "choose_replica",
         "clock",
+        "copy_age_s",
+        "count_deleted_server_attempt",
         "crashing_requests",
         "exchange_s",
         "expect",
@@ -98,8 +104,12 @@
         exchange_s: Callable[[Route], float] | None = None,
         arrivals: ArrivalLoad | None = None,
         choose_replica: Callable[..., ServerPool | None] = best_replica,
+        copy_age_s: Callable[[], float] = lambda: 0.0,
+        count_deleted_server_attempt: Callable[..., None] = lambda service: None,
         stop_notice: StopNotice | None = None,
     ) -> None:
+        self.copy_age_s = copy_age_s
+        self.count_deleted_server_attempt = count_deleted_server_attempt
         self.stop_notice = stop_notice or StopNotice()
         self.exchange_s = exchange_s or typical_s
         self.arrivals = arrivals or ArrivalLoad()
--- a/src/rhubarbway/services/forwarding_log.py
+++ b/src/rhubarbway/services/forwarding_log.py
@@ -6,6 +6,7 @@
 
 from rhubarbway.model import ForwardedRequest, Route
 from rhubarbway.services.forwarding_context import ForwardingContext
+from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.shard_progress import ShardProgress
 
 # Number of the slowest shards that the log line of an answer names.
@@ -47,6 +48,30 @@
     )
 
 
+def log_deleted_server(
+    context: ForwardingContext,
+    request: ForwardedRequest,
+    route: Route,
+    shard: ShardProgress,
+    pool: ServerPool,
+) -> None:
+    """Log and count an attempt at a server whose deletion this host knows and defers."""
+    known_since = pool.state.deletion_known_since
+    if known_since is None:
+        return
+    context.count_deleted_server_attempt(service=shard.service)
+    log_decision(
+        context,
+        request,
+        route,
+        "Attempt at a server whose deletion is deferred.",
+        shard,
+        server=pool.server.id,
+        deletion_known_ms=milliseconds(context.clock() - known_since),
+        copy_age_ms=milliseconds(context.copy_age_s()),
+    )
+
+
 def milliseconds(seconds: float) -> int | None:
     """Convert seconds to whole milliseconds; infinity becomes None.
 
--- a/src/rhubarbway/services/gateway_status.py
+++ b/src/rhubarbway/services/gateway_status.py
@@ -70,13 +70,15 @@
     def status(self) -> dict[str, object]:
         """Return the status document; times are seconds, and the age of the copy null without one.
 
-        The age of an evacuation counts from when this host learned of it.
+        The age of an evacuation, and of a deletion that is not applied yet, counts from when this
+        host learned of it.
         """
         now = time.monotonic()
         age_s = self.registry.copy_age_s()
         with self.servers.lock:
             evacuated = self.servers.evacuated_zones.ages_s(now=now)
             in_use = self.servers.count_by_zone()
+            deletions = self.servers.deferred_deletions
         return {
             "name": self.name,
             "zone": self.zone,
@@ -86,4 +88,5 @@
             "reads_store": self.fleet.is_reader(has_copy=self.registry.complete, copy_age_s=age_s),
             "evacuated_zones": {zone: round(age, 3) for zone, age in evacuated.items()},
             "servers_in_use": in_use,
+            "deferred_deletions": {server: round(now - at, 3) for server, at in deletions.items()},
         }
--- a/src/rhubarbway/services/log.py
+++ b/src/rhubarbway/services/log.py
@@ -49,6 +49,8 @@
 MAX_QUEUED_LINES = 4000
 # Delay between two writes, seconds. Writing each line at once would wake the task for each.
 WRITE_INTERVAL_S = 0.05
+# Number of servers that one line names; a longer list takes several lines.
+SERVERS_PER_LINE = 32
 # Token bucket for lines with a ``request_id``: sustained rate and largest burst.
 REQUEST_LINES_PER_S = 60.0
 REQUEST_LINES_BURST = 300.0
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -13,6 +13,7 @@
 from aioprometheus.formats import text
 
 from rhubarbway.kernel import Kernel
+from rhubarbway.services.deletion_metrics import DeletionMetrics
 from rhubarbway.services.latency_tally import LatencyTally
 from rhubarbway.services.shared_server_metrics import SharedServerMetrics
 
@@ -42,6 +43,7 @@
         "connection_failures",
         "copy_confirmed",
         "delegated_requests",
+        "deletions",
         "dropped_observations",
         "evacuated_zones",
         "entry_hosts",
@@ -74,6 +76,9 @@
         self.shared_servers = SharedServerMetrics(
             registry=self.registry, queue_observation=self.queue_observation
         )
+        self.deletions = DeletionMetrics(
+            registry=self.registry, queue_observation=self.queue_observation
+        )
         self.query_latency = Histogram(
             "rhubarbway_query_seconds",
             "Time from reading a query to its reply, by tenant and service.",
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -10,7 +10,7 @@
 import secrets
 import threading
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from returns.result import Success
 
@@ -20,7 +20,6 @@
     KnownConfirmations,
     is_stale,
 )
-from rhubarbway.decisions.deferred_deletions import DeferredDeletions, is_mass_deletion
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
@@ -28,6 +27,7 @@
 from rhubarbway.platform.evacuation_keys import EVACUATION_KEY_PREFIX, evacuated_zone
 from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
 from rhubarbway.services.copy_changes import Changes
+from rhubarbway.services.deletion_deferral import DeletionDeferral
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING, SERVERS
 from rhubarbway.services.routing import RoutingService
@@ -39,11 +39,6 @@
 MIN_WAKE_INTERVAL_S = 0.3
 
 
-def is_server_key(key: str) -> bool:
-    """Return whether the value of a key describes a server, so that it may lapse."""
-    return key.startswith(SERVER_KEY_PREFIX)
-
-
 class RegistryService:
     """Holds the copy of the store, and puts what changes in it into force.
 
@@ -62,6 +57,7 @@
     __slots__ = (
         "answer_numbers",
         "apply_limit_s",
+        "clock",
         "confirmation",
         "confirmation_listeners",
         "confirmation_relayed",
@@ -82,7 +78,11 @@
         "store_copy",
     )
 
-    def __init__(self, *, apply_limit_s: float = 3.0) -> None:
+    def __init__(
+        self, *, apply_limit_s: float = 3.0, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        # Returns the current instant.
+        self.clock = clock
         # Time within which a change of the store must be in force here, seconds.
         self.apply_limit_s = apply_limit_s
         self.confirmation = Confirmation()
@@ -105,7 +105,7 @@
         self.followers_woken_at = float("-inf")
         # The copy and the deferred deletions contain all changes up to this revision of the store.
         self.read_revision = 0
-        self.deferral = DeferredDeletions(may_lapse=is_server_key)
+        self.deferral = DeletionDeferral(store_copy=self.store_copy, clock=self.clock)
         # Called with the kind of each value that cannot be used: ``server``, ``configuration`` or
         # ``evacuation``.
         self.invalid_item_listeners: list[Callable[..., None]] = []
@@ -196,14 +196,14 @@
             return
         self.confirmation = confirmation
         for listener in self.confirmation_listeners:
-            listener(time.monotonic() - confirmation.at)
+            listener(self.clock() - confirmation.at)
 
     def apply_store_changes(
         self, items: Sequence[StoreItem], *, revision: int, whole: bool
     ) -> None:
         """Apply changes, or all items if ``whole``, read from the store; may defer deletions."""
         with self.condition:
-            changes = self.changes_to_apply(items, whole=whole, revision=revision)
+            changes = self.deferral.changes_to_apply(items, whole=whole, revision=revision)
             self.read_revision = max(self.read_revision, revision)
             if whole:
                 self.store_copy.record_unknown_deletions(revision)
@@ -216,14 +216,14 @@
             complete=True,
             source="store",
             confirmation=Confirmation(
-                at=time.monotonic(), reader=self.incarnation, number=next(self.answer_numbers)
+                at=self.clock(), reader=self.incarnation, number=next(self.answer_numbers)
             ),
-            settled_revision=0 if self.deferral.deletions else revision,
+            settled_revision=0 if self.deferral.known.deletions else revision,
         )
 
     def copy_age_s(self) -> float:
         """Return the time since the store last confirmed the copy, seconds; inf without one."""
-        return time.monotonic() - self.confirmation.at
+        return self.clock() - self.confirmation.at
 
     def is_copy_stale(self) -> bool:
         """Return whether the copy is complete, but may lack a change for too long."""
@@ -245,80 +245,6 @@
         else:
             self.log.info("Copy of the store is current again.", revision=self.store_copy.revision)
 
-    def changes_to_apply(
-        self, items: Sequence[StoreItem], *, whole: bool, revision: int
-    ) -> list[StoreItem]:
-        """Return the changes of the store to apply now, with deletions whose deferral has ended."""
-        now = time.monotonic()
-        changes = list(items)
-        if whole:
-            changes += self.deletions_of_unlisted(items, revision=revision)
-        if self.are_entries_lapsed(changes) or (
-            not whole and any(self.is_deferred_elsewhere(item) for item in changes)
-        ):
-            self.deferral.defer(now=now)
-        deferred_before = len(self.deferral.deletions)
-        due = self.deferral.due_changes(changes, now=now)
-        deferred = len(self.deferral.deletions)
-        if deferred != deferred_before:
-            self.log.info(
-                "Deferred deletions changed.",
-                count=deferred,
-                before=deferred_before,
-                for_ms=round(max(0.0, self.deferral.until - now) * 1000),
-            )
-        return due
-
-    def deletions_of_unlisted(
-        self, items: Iterable[StoreItem], *, revision: int
-    ) -> list[StoreItem]:
-        """Return deletions of the keys that a list of the whole store lacks."""
-        listed = {item.key for item in items}
-        return [
-            StoreItem(key=key, value=None, revision=revision)
-            for key, known in self.store_copy.items.items()
-            if key not in listed and known.revision <= revision
-        ]
-
-    def are_entries_lapsed(self, changes: Iterable[StoreItem]) -> bool:
-        """Return whether changes delete so many entries that these have lapsed in an outage."""
-        deleted_keys = [
-            item.key for item in changes if item.value is None and self.is_serving(item.key)
-        ]
-        if not deleted_keys:
-            return False
-        serving = sum(self.is_serving(key) for key in self.store_copy.items)
-        if not is_mass_deletion(len(deleted_keys), serving=serving):
-            return False
-        self.log.warning(
-            "Many entries deleted at once; deletions deferred.",
-            count=len(deleted_keys),
-            of=serving,
-        )
-        return True
-
-    def is_deferred_elsewhere(self, item: StoreItem) -> bool:
-        """Return whether a change is a deletion that the host which sent this copy has deferred.
-
-        The copy has reached the revision of the deletion, and still holds the key. A deletion that
-        this host has deferred itself is not read again.
-        """
-        known = self.store_copy.items.get(item.key)
-        return (
-            item.value is None
-            and is_server_key(item.key)
-            and known is not None
-            and known.revision < item.revision <= self.store_copy.revision
-        )
-
-    def is_serving(self, key: str) -> bool:
-        """Return whether the entry of a key describes a server that is not draining."""
-        item = self.store_copy.items.get(key)
-        if item is None or item.value is None or not is_server_key(key):
-            return False
-        server = server_from_entry(key, item.value).value_or(None)
-        return server is not None and not server.draining
-
     def wait_for_changes(
         self, *, after: int | None, wait_s: float, settled_revision: int = 0
     ) -> Changes:
@@ -372,12 +298,12 @@
     def has_deferred_deletions(self) -> bool:
         """Return whether deletions were read that are not applied yet."""
         with self.condition:
-            return bool(self.deferral.deletions)
+            return bool(self.deferral.known.deletions)
 
     def defer_deletions(self) -> None:
         """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
         with self.condition:
-            self.deferral.defer(now=time.monotonic())
+            self.deferral.begin()
 
     def end_follower_waits(self) -> None:
         """Answer waiting followers now and later requests at once; called when the host stops."""
@@ -391,7 +317,7 @@
         Called for new reports of slow servers, which are not in the copy but in each reply.
         """
         with self.condition:
-            now = time.monotonic()
+            now = self.clock()
             if now < self.followers_woken_at + MIN_WAKE_INTERVAL_S:
                 return
             self.followers_woken_at = now
--- a/src/rhubarbway/services/request_forwarder.py
+++ b/src/rhubarbway/services/request_forwarder.py
@@ -31,7 +31,12 @@
 )
 from rhubarbway.services.caller_inbox import CallerInbox
 from rhubarbway.services.forwarding_context import ForwardingContext
-from rhubarbway.services.forwarding_log import log_decision, slowest_shards
+from rhubarbway.services.forwarding_log import (
+    log_decision,
+    log_deleted_server,
+    milliseconds,
+    slowest_shards,
+)
 from rhubarbway.services.server_attempt import ServerAttempt
 from rhubarbway.services.server_choice import best_pool, expected_latency_s, least_latency_s
 from rhubarbway.services.server_pool import ServerPool
@@ -280,6 +285,7 @@
             replaces_undelivered=replaces_undelivered,
             now=now,
         )
+        log_deleted_server(self.context, self.request, self.route, shard, pool)
         attempt = ServerAttempt(
             number=self.context.next_attempt_number(),
             request=self.request,
@@ -422,6 +428,7 @@
             status=outcome.reply.status if outcome.reply else None,
             detail=outcome.detail,
             latency_ms=round(outcome.latency_s * 1000),
+            copy_age_ms=milliseconds(self.context.copy_age_s()),
         )
         if is_undelivered and self.resend_undelivered(shard):
             return
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
 from rhubarbway.decisions.connection_subsets import USED_CONNECTION_FRACTION
@@ -38,6 +38,7 @@
 from rhubarbway.services.server_codec import ServerCodec
 from rhubarbway.services.server_pool import ServerPool
 from rhubarbway.services.server_sharing import ServerSharing
+from rhubarbway.services.withdrawal_log import log_withdrawals
 
 # Connection limit for each server of a service whose connection cap is not known yet.
 DEFAULT_CONNECTION_LIMIT = 2
@@ -95,6 +96,7 @@
         "cold_attempt_listeners",
         "connection_caps",
         "cores",
+        "deferred_deletions",
         "evacuated_zones",
         "evacuation_listeners",
         "fan_out_services",
@@ -155,6 +157,8 @@
         # Replaced as a whole, so that requests can read it without the lock.
         self.pools_by_service: dict[str, list[ServerPool]] = {}
         self.connection_caps: dict[str, int] = {}
+        # By server id, since when the deletion of its entry is known that is not applied yet.
+        self.deferred_deletions: Mapping[str, float] = {}
         self.host_count = DEFAULT_HOST_COUNT
         self.observers: list[Observer] = []
         # What servers said of themselves, kept while their pools come and go.
@@ -248,6 +252,13 @@
                 self.servers[server.id] = server
             self.apply_servers()
 
+    def set_deferred_deletions(self, known_since: Mapping[str, float]) -> None:
+        """Replace the deletions, by server id, that are known but not applied yet."""
+        with self.lock:
+            self.deferred_deletions = known_since
+            for pool in self.pools.values():
+                pool.state.deletion_known_since = known_since.get(pool.server.id)
+
     def set_evacuated_zones(self, zones: Collection[str]) -> None:
         """Stop using the servers of these zones, and use those of all others again."""
         now = time.monotonic()
@@ -321,6 +332,7 @@
                 gone=[pool.server.id for pool in gone][:8],
                 serving=len(pools),
             )
+            log_withdrawals(self.log, gone, servers=self.servers, notices=self.notices)
         for pool in gone:
             if self.evacuated_zones.includes(pool.server):
                 pool.mark_evacuated()
@@ -431,6 +443,7 @@
         )
         pool.state.quiet_until = self.notices.quiet_end(server.incarnation)
         pool.state.cold_limit = self.sharing.cold_limit(server)
+        pool.state.deletion_known_since = self.deferred_deletions.get(server.id)
         self.log_cold_server(pool)
         return pool
 
--- /dev/null
+++ b/src/rhubarbway/services/tests/test_deletion_deferral.py
@@ -0,0 +1,91 @@
+"""Tests of deletions of server entries that are held back, without a network."""
+
+from structlog.testing import capture_logs
+
+from rhubarbway.decisions.withdrawal import WithdrawalReason, withdrawal_reason
+from rhubarbway.model import StoreItem
+from rhubarbway.services.registry import RegistryService
+from rhubarbway.services.tests.test_registry import ServiceRecorder, deletion, entry
+
+SERVERS = 60
+
+
+class Clock:
+    """Time of a test, seconds; advances only when the test says so."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+    def advance(self, seconds):
+        self.now += seconds
+
+
+class Reader:
+    """A host with the entries of 60 servers that reads the store at times."""
+
+    def __init__(self, *, clock):
+        self.recorder = ServiceRecorder()
+        self.registry = RegistryService(clock=clock)
+        self.registry.servers = self.recorder
+        self.registry.routing = self.recorder
+        self.read([entry(number) for number in range(SERVERS)], revision=100)
+
+    def read(self, items, *, revision):
+        """Apply what a watch of the store returns."""
+        self.registry.apply_store_changes(items, revision=revision, whole=False)
+
+
+class TestLines:
+    def test_they_name_the_servers_the_reason_and_the_time(self):
+        """Guards against logs from which nobody can tell why a removed server is still used."""
+        clock = Clock()
+        reader = Reader(clock=clock)
+        ended = []
+        reader.registry.deferral.end_listeners.append(lambda **end: ended.append(end))
+        known = []
+        reader.registry.deferral.change_listeners.append(known.append)
+        with capture_logs() as lines:
+            reader.registry.defer_deletions()
+            reader.read([deletion(1, 200), deletion(2, 201)], revision=201)
+            clock.advance(1.0)
+            reader.read(
+                [StoreItem(key=entry(1).key, value=entry(1).value, revision=300)], revision=300
+            )
+            clock.advance(1.5)
+            reader.read([], revision=301)
+        begun, written_again, applied = lines
+        assert begun["event"] == "Deletions deferred." and begun["reason"] == "outage"
+        assert begun["servers"] == ["i-1", "i-2"] and begun["for_ms"] == 2200
+        assert written_again["end"] == "written_again" and written_again["servers"] == ["i-1"]
+        assert applied["end"] == "applied" and applied["servers"] == ["i-2"]
+        assert applied["longest_ms"] == 2500
+        assert [(end["end"], end["seconds"]) for end in ended] == [
+            ("written_again", 1.0),
+            ("applied", 2.5),
+        ]
+        assert known == [{"i-1": 1000.0, "i-2": 1000.0}, {"i-2": 1000.0}, {}]
+
+
+class TestWithdrawalReason:
+    def test_each_way_to_leave_has_its_own(self):
+        """Guards against a log that does not tell a removed entry from a draining one."""
+        server = next(iter(self.servers(number=1)))
+        other = next(iter(self.servers(number=1, born=8)))
+        draining = next(iter(self.servers(number=1, state="draining")))
+        for listed, leaving, expected in (
+            (None, False, WithdrawalReason.REMOVED),
+            (other, False, WithdrawalReason.REPLACED),
+            (draining, True, WithdrawalReason.DRAINING),
+            (server, True, WithdrawalReason.LEAVING),
+            (server, False, WithdrawalReason.EVACUATED),
+        ):
+            reason = withdrawal_reason(server.incarnation, listed=listed, leaving=leaving)
+            assert reason is expected
+
+    def servers(self, *, number, **changes):
+        """Yield the server that an entry describes."""
+        registry = RegistryService()
+        yield registry.decode_server(entry(number, **changes))
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -156,7 +156,7 @@
             for n in range(48)
         ]
         filled.apply_changes(returned, revision=400)
-        filled.registry.deferral.until = float("-inf")
+        filled.registry.deferral.known.until = float("-inf")
         filled.apply_changes([], revision=401)
         assert filled.recorder.removed == []
 
@@ -164,7 +164,7 @@
         """Guards against deferred deletions that are never applied."""
         filled = FilledRegistry()
         filled.apply_changes([deletion(number) for number in range(48)], revision=200)
-        filled.registry.deferral.until = float("-inf")
+        filled.registry.deferral.known.until = float("-inf")
         filled.apply_changes([], revision=201)
         assert len(filled.recorder.removed) == 48
 
@@ -451,7 +451,7 @@
         assert registry.watch_start() == start < registry.store_copy.revision
         filled.apply_changes([deletion(1, revision=190)], revision=200)
         assert filled.recorder.removed == [] and registry.store_copy.settled_revision == start
-        registry.deferral.until = 0.0
+        registry.deferral.known.until = 0.0
         filled.apply_changes([], revision=201)
         assert filled.recorder.removed == ["i-1"]
         assert registry.store_copy.settled_revision == 201
--- a/src/rhubarbway/services/tests/test_store_silence.py
+++ b/src/rhubarbway/services/tests/test_store_silence.py
@@ -6,7 +6,6 @@
 
 from rhubarbway.decisions.deferred_deletions import LAPSE_GRACE_S
 from rhubarbway.platform.store import WATCH_MARGIN_S, StoreError, StorePage, StoreProblem
-from rhubarbway.services import registry as registry_module
 from rhubarbway.services import store_reader as reader_module
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.store_reader import PROBE_WAIT_S, StoreReader
@@ -100,15 +99,14 @@
         self.first_reader = first_reader
         self.removed_at = {}
         self.lines = []
-        registry = RegistryService()
+        registry = RegistryService(clock=self.clock.monotonic)
         registry.servers = registry.routing = self
         reader = StoreReader(make_client=lambda: store)
         reader.registry, reader.fleet = registry, self
         reader.stopping = reader.random = self.clock
-        registry.log = reader.log = LineRecorder(lines=self.lines)
+        registry.log = registry.deferral.log = reader.log = LineRecorder(lines=self.lines)
         with pytest.MonkeyPatch.context() as patch:
-            for module in (registry_module, reader_module):
-                patch.setattr(module, "time", self.clock)
+            patch.setattr(reader_module, "time", self.clock)
             reader.read_store()
 
     def update(self, changed, removed):
