Show that removed servers stay in use while others are removed

After an outage of the store, hosts hold back deletions for each other, and with each further removal again.

--- /dev/null
+++ b/proofs/test_deletion_delay_model.py
@@ -0,0 +1,41 @@
+"""Runs the model of deferred deletions: how long a removed server stays in use, and for whom."""
+
+import pytest
+
+from proofs.deletion_delay_model import NOTICED_OUTAGE_S, DelayModel, Plan, PromiseBroken
+
+SEEDS = range(12)
+
+
+def releases(*, begin, end, count):
+    """Return removals at even intervals, as a release that replaces one server after the other."""
+    return {number: begin + (end - begin) * number / count for number in range(count)}
+
+
+def broken_promises(plan, *, seeds=SEEDS):
+    """Return what the runs of a plan with these seeds break."""
+    broken = []
+    for seed in seeds:
+        try:
+            DelayModel(plan=plan, seed=seed).run()
+        except PromiseBroken as problem:
+            broken.append((seed, str(problem)))
+    return broken
+
+
+class TestRemovals:
+    @pytest.mark.parametrize("down_s", [0.3, 1.0, 3.0])
+    def test_servers_removed_after_an_outage_are_out_of_use_in_time(self, down_s):
+        """Guards against removed servers that stay in use while a release goes on after an
+        outage of the store.
+        """
+        plan = Plan(outages=[(3.0, 3.0 + down_s)], removals=releases(begin=1.0, end=13.0, count=40))
+        assert broken_promises(plan) == []
+
+
+class TestLapsedEntries:
+    @pytest.mark.parametrize("lapsing", [0.05, 0.3, 0.9])
+    def test_living_servers_stay_in_use(self, lapsing):
+        """Guards against living servers that are dropped when the store comes back."""
+        plan = Plan(outages=[(3.0, 3.0 + NOTICED_OUTAGE_S)], removals={}, lapsing=lapsing)
+        assert broken_promises(plan) == []
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -189,6 +189,19 @@
                 self.confirmation_relayed = self.confirmation.at
                 self.condition.notify_all()
 
+    def apply_received(self, changes: Changes, *, source: str) -> None:
+        """Apply the changes of the copy of another host, whose address is ``source``."""
+        self.apply_changes(
+            changes.items,
+            revision=changes.revision,
+            whole=changes.whole,
+            complete=changes.complete,
+            source=source,
+            confirmation=changes.confirmation,
+            settled_revision=changes.settled_revision,
+            deletions_known_after=changes.deletions_known_after,
+        )
+
     def record_confirmation(self, confirmation: Confirmation) -> None:
         """Note that the copy was current at some instant; the caller holds the lock."""
         is_new = self.known_confirmations.is_new(confirmation)
--- a/src/rhubarbway/services/tests/test_deletion_deferral.py
+++ b/src/rhubarbway/services/tests/test_deletion_deferral.py
@@ -37,6 +37,13 @@
         """Apply what a watch of the store returns."""
         self.registry.apply_store_changes(items, revision=revision, whole=False)
 
+    def follow(self, other):
+        """Apply the changes of another host."""
+        changes = other.registry.wait_for_changes(
+            after=None, wait_s=0.0, settled_revision=self.registry.settled_revision()
+        )
+        self.registry.apply_received(changes, source="other")
+
 
 class TestLines:
     def test_they_name_the_servers_the_reason_and_the_time(self):
@@ -89,3 +96,34 @@
         """Yield the server that an entry describes."""
         registry = RegistryService()
         yield registry.decode_server(entry(number, **changes))
+
+
+class TestDeferralsOfSeveralHosts:
+    def test_hosts_do_not_prolong_deferrals_for_each_other(self):
+        """Guards against removed servers that stay in use for as long as others are removed.
+
+        After an outage a host reads each removal just before another one, which then takes it for a
+        deletion that is deferred elsewhere, and holds back the next one in turn.
+        """
+        clock = Clock()
+        hosts = [Reader(clock=clock) for _ in range(2)]
+        for host in hosts:
+            host.registry.defer_deletions()
+        clock.advance(2.0)
+        removed_at = {}
+        delays_s = {}
+        for number in range(20):
+            first, second = hosts[number % 2], hosts[1 - number % 2]
+            revision = 200 + number
+            removed_at[number] = clock.now
+            first.read([deletion(number, revision)], revision=revision)
+            second.follow(first)
+            second.read([deletion(number, revision)], revision=revision)
+            first.follow(second)
+            clock.advance(0.5)
+            for host in hosts:
+                host.read([], revision=revision)
+            for server in removed_at.keys() - delays_s.keys():
+                if not any(f"i-{server}" in host.recorder.in_use for host in hosts):
+                    delays_s[server] = clock.now - removed_at[server]
+        assert len(delays_s) >= 15 and max(delays_s.values()) < 3.0
