Tell followers which deletions are deferred, and since when they are known

Callers: hosts that replace each other as readers after an outage kept a removed server in use. Each new reader read its deletion again, could not tell since when another host had held it back, and began anew.

Change: replies of the feed carry the deferred deletions, once to each follower, with the time since the first host read them. All hosts now log and count attempts at servers whose deletion is deferred, not only readers. Hosts of an earlier version neither send nor read the new field.

Evidence: test_a_new_reader_does_not_begin_the_deferral_anew fails with the merge taken out and passes with it.

--- a/proofs/deletion_delay_model.py
+++ b/proofs/deletion_delay_model.py
@@ -201,7 +201,9 @@
         steps = []
         for host in self.hosts:
             is_reader = host in self.readers or host.registry.is_copy_stale()
-            if is_reader and self.now >= host.reads_at:
+            # A host without a copy asks the others for one first.
+            has_copy = host.registry.complete
+            if is_reader and has_copy and self.now >= host.reads_at:
                 steps.append(lambda host=host: self.call_store(host))
             others = [reader for reader in self.readers if reader is not host]
             steps.append(lambda host=host, other=others[0]: host.follow(other))
--- a/proofs/test_deletion_delay_model.py
+++ b/proofs/test_deletion_delay_model.py
@@ -32,6 +32,24 @@
         plan = Plan(outages=[(3.0, 3.0 + down_s)], removals=releases(begin=1.0, end=13.0, count=40))
         assert broken_promises(plan) == []
 
+    def test_readers_that_come_and_go_do_not_delay_them(self):
+        """Guards against removed servers that stay in use because each new reader begins the
+        deferral of their deletions anew.
+        """
+        plan = Plan(
+            outages=[(3.0, 6.0)],
+            removals=releases(begin=1.0, end=16.0, count=45),
+            reader_changes=[1.3 * number for number in range(15)],
+            restarts=[(2.0 + 1.1 * number, number % 5) for number in range(14)],
+        )
+        assert broken_promises(plan) == []
+
+    def test_a_series_of_outages_does_not_delay_them(self):
+        """Guards against outages that hold back each other's deletions after the last of them."""
+        outages = [(3.0, 3.4), (5.0, 5.5), (6.5, 7.0), (7.5, 7.9)]
+        plan = Plan(outages=outages, removals=releases(begin=1.0, end=16.0, count=45))
+        assert broken_promises(plan) == []
+
 
 class TestLapsedEntries:
     @pytest.mark.parametrize("lapsing", [0.05, 0.3, 0.9])
@@ -39,3 +57,11 @@
         """Guards against living servers that are dropped when the store comes back."""
         plan = Plan(outages=[(3.0, 3.0 + NOTICED_OUTAGE_S)], removals={}, lapsing=lapsing)
         assert broken_promises(plan) == []
+
+    def test_a_series_of_outages_drops_no_living_server(self):
+        """Guards against living servers that are dropped because the store was away again before
+        they could write their entries.
+        """
+        outages = [(3.0, 7.5), (8.5, 13.0), (14.0, 18.6)]
+        plan = Plan(outages=outages, removals={}, lapsing=0.6)
+        assert broken_promises(plan) == []
--- a/src/rhubarbway/decisions/deferred_deletions.py
+++ b/src/rhubarbway/decisions/deferred_deletions.py
@@ -2,8 +2,9 @@
 
 Entries of living servers lapse during an outage of the store and are written again soon after it.
 Deletions that are read within ``LAPSE_GRACE_S`` after the end of an outage, or after many deletions
-at once, are therefore deferred to the end of that time, and a deletion that another host has
-deferred for as long after it was read.
+at once, are therefore deferred to the end of that time. A deletion that another host has deferred
+is due ``LAPSE_GRACE_S`` after the first host read it: hosts tell each other of the deletions that
+they defer, so that a host which begins to read the store knows them.
 
 Each deletion has its own instant at which it is due. A later event does not move it, except another
 outage, in which a living server could not write its entry. Otherwise hosts that read each other's
@@ -14,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 
 from rhubarbway.model import StoreItem
@@ -78,24 +79,33 @@
     item : StoreItem
         The deletion.
     known_since : float
-        Instant at which it was read.
+        Instant at which the first host that knows it read it.
     due_at : float
-        Instant from which it is applied.
+        Instant from which it is applied; inf if only other hosts have read it.
     latest_at : float
         Latest instant that ``due_at`` may be moved to.
     reason : DeferralReason
         Why it is deferred.
+    sequence : int
+        Sequence number of this host's copy at which this host learned of it.
     """
 
-    __slots__ = ("due_at", "item", "known_since", "latest_at", "reason")
+    __slots__ = ("due_at", "item", "known_since", "latest_at", "reason", "sequence")
 
     def __init__(
-        self, *, item: StoreItem, known_since: float, due_at: float, reason: DeferralReason
+        self,
+        *,
+        item: StoreItem,
+        known_since: float,
+        due_at: float,
+        latest_at: float,
+        reason: DeferralReason,
     ) -> None:
         self.item = item
         self.known_since = known_since
         self.due_at = due_at
-        self.latest_at = known_since + MAX_DEFERRAL_S
+        self.latest_at = latest_at
+        self.sequence = 0
         self.reason = reason
 
 
@@ -131,7 +141,9 @@
     Attributes
     ----------
     deletions : dict of str to DeferredDeletion
-        Deferred deletions by key.
+        Deletions by key that this host has read and deferred.
+    elsewhere : dict of str to DeferredDeletion
+        Those that only other hosts have read.
     until : float
         Instant before which the deletions that are read are deferred, to this instant.
     reason : DeferralReason
@@ -151,11 +163,12 @@
     ['a']
     """
 
-    __slots__ = ("deletions", "may_lapse", "read_at", "reason", "until")
+    __slots__ = ("deletions", "elsewhere", "may_lapse", "read_at", "reason", "until")
 
     def __init__(self, *, may_lapse: Callable[[str], bool]) -> None:
         self.may_lapse = may_lapse
         self.deletions: dict[str, DeferredDeletion] = {}
+        self.elsewhere: dict[str, DeferredDeletion] = {}
         self.until = float("-inf")
         self.reason = DeferralReason.OUTAGE
         self.read_at = float("-inf")
@@ -174,6 +187,34 @@
             deletion.latest_at += now - max(self.read_at, deletion.known_since)
             deletion.due_at = min(self.until, deletion.latest_at)
 
+    def all(self) -> Iterator[tuple[str, DeferredDeletion]]:
+        """Yield keys and deletions that are known, also those that only other hosts have read."""
+        yield from self.deletions.items()
+        yield from self.elsewhere.items()
+
+    def merge(self, item: StoreItem, *, known_since: float) -> DeferredDeletion | None:
+        """Record a deletion that another host has deferred; return it if it was not known.
+
+        The earliest time counts, since the time that a message takes makes it seem later.
+        """
+        known = self.deletions.get(item.key) or self.elsewhere.get(item.key)
+        if known is None or known.item.revision < item.revision:
+            deletion = DeferredDeletion(
+                item=item,
+                known_since=known_since,
+                due_at=float("inf"),
+                latest_at=float("inf"),
+                reason=DeferralReason.OTHER_HOST,
+            )
+            if item.key not in self.deletions:
+                self.elsewhere[item.key] = deletion
+                return deletion
+        elif known.item.revision == item.revision and known_since < known.known_since:
+            known.known_since = known_since
+            if item.key in self.deletions and known.reason is DeferralReason.OTHER_HOST:
+                known.due_at = min(known.due_at, known_since + LAPSE_GRACE_S)
+        return None
+
     def next_due_at(self) -> float:
         """Return the instant at which the next deletion is due; inf without any."""
         return min((deletion.due_at for deletion in self.deletions.values()), default=float("inf"))
@@ -198,13 +239,21 @@
         result = DueChanges()
         for item in changes:
             known = self.deletions.pop(item.key, None)
+            read_elsewhere = self.elsewhere.pop(item.key, None)
             if item.value is not None or not self.may_lapse(item.key):
-                if known is not None:
-                    result.ended.append((known, DeferralEnd.WRITTEN_AGAIN))
+                ended = known or read_elsewhere
+                if ended is not None:
+                    result.ended.append((ended, DeferralEnd.WRITTEN_AGAIN))
                 result.items.append(item)
                 continue
+            known_since = now
+            if read_elsewhere is not None:
+                known_since = min(now, read_elsewhere.known_since)
             deletion = known or self.new_deletion(
-                item, now=now, elsewhere=is_deferred_elsewhere(item)
+                item,
+                now=now,
+                known_since=known_since,
+                elsewhere=read_elsewhere is not None or is_deferred_elsewhere(item),
             )
             deletion.item = item
             self.deletions[item.key] = deletion
@@ -218,14 +267,23 @@
                     result.ended.append((deletion, DeferralEnd.APPLIED))
         return result
 
-    def new_deletion(self, item: StoreItem, *, now: float, elsewhere: bool) -> DeferredDeletion:
+    def new_deletion(
+        self, item: StoreItem, *, now: float, known_since: float, elsewhere: bool
+    ) -> DeferredDeletion:
         """Return a deletion that was read now; it is due at once if nothing defers it."""
-        due_at, reason = now, self.reason
+        due_at, deferred_at, reason = now, now, self.reason
         if now < self.until:
             due_at = self.until
         elif elsewhere:
-            due_at, reason = now + LAPSE_GRACE_S, DeferralReason.OTHER_HOST
-        return DeferredDeletion(item=item, known_since=now, due_at=due_at, reason=reason)
+            due_at, reason = known_since + LAPSE_GRACE_S, DeferralReason.OTHER_HOST
+            deferred_at = known_since
+        return DeferredDeletion(
+            item=item,
+            known_since=known_since,
+            due_at=due_at,
+            latest_at=deferred_at + MAX_DEFERRAL_S,
+            reason=reason,
+        )
 
     def drop_known(self, revision_of: Callable[[str], int | None]) -> DueChanges:
         """Drop the deletions that the copy has received from another host.
@@ -241,11 +299,12 @@
             The deferrals that have ended; there is nothing to apply.
         """
         result = DueChanges()
-        for key, deletion in list(self.deletions.items()):
+        for key, deletion in list(self.all()):
             revision = revision_of(key)
             if revision is not None and revision <= deletion.item.revision:
                 continue
-            del self.deletions[key]
+            self.deletions.pop(key, None)
+            self.elsewhere.pop(key, None)
             end = DeferralEnd.RECEIVED if revision is None else DeferralEnd.WRITTEN_AGAIN
             result.ended.append((deletion, end))
         return result
--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -21,6 +21,9 @@
 # There are more of them than logged changes, since the log needs those of its deletions.
 MAX_TOMBSTONES = 2048
 
+# Stands in the log for a sequence number that belongs to no change of an item.
+NO_KEY = ""
+
 
 class StoreCopy:
     """Items of the store by key, with a log of their changes.
@@ -154,6 +157,12 @@
         self.sequence += 1
         self.change_log.append((self.sequence, item.key))
 
+    def advance(self) -> int:
+        """Return a new sequence number for what followers are to learn, but is no changed item."""
+        self.sequence += 1
+        self.change_log.append((self.sequence, NO_KEY))
+        return self.sequence
+
     def record_unknown_deletions(self, revision: int) -> None:
         """Record that deletions up to a revision may be unknown, since a list names none."""
         self.deletions_known_after = max(self.deletions_known_after, revision)
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from rhubarbway.decisions.crash_guard import ServerLoss
+from rhubarbway.decisions.deferred_deletions import DeferralReason, DeferredDeletion
 from rhubarbway.decisions.fleet_view import FleetMember
 from rhubarbway.decisions.server_notices import LeavingMark
 from rhubarbway.decisions.slowness_reports import SlownessReport
@@ -123,6 +124,17 @@
     age_ms: Age
 
 
+class WireDeferredDeletion(msgspec.Struct, array_like=True):
+    """A deletion that the sender knows and has not applied to its copy.
+
+    ``known_ms`` is the time since the first host read it.
+    """
+
+    key: Name
+    revision: Counter
+    known_ms: Age
+
+
 class FeedRequest(msgspec.Struct):
     """A follower's request for changes.
 
@@ -163,7 +175,8 @@
     ``confirmed_by`` and ``confirmed_number`` name that answer of the store (``Confirmation``); they
     are empty from a host of an earlier version. ``settled`` and ``deletions_known_after`` are those
     of the sender's copy (``StoreCopy``). ``answers`` is the number of the request; None from a host
-    of an earlier version.
+    of an earlier version. ``deferred`` are the deletions that the sender has deferred since
+    ``after`` of the request, or all of them in a first reply.
     """
 
     sender: WireMember
@@ -183,6 +196,7 @@
     deletions_known_after: Counter = 0
     answers: Counter | None = None
     singles: list[WireSingleLoss] = []
+    deferred: list[WireDeferredDeletion] = []
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -362,6 +376,26 @@
     )
 
 
+def deferred_deletion_to_wire(deletion: DeferredDeletion, *, now: float) -> WireDeferredDeletion:
+    """Return the wire form of a deferred deletion."""
+    return WireDeferredDeletion(
+        key=deletion.item.key,
+        revision=deletion.item.revision,
+        known_ms=max(0, round((now - deletion.known_since) * 1000)),
+    )
+
+
+def deferred_deletion_from_wire(wire: WireDeferredDeletion, *, now: float) -> DeferredDeletion:
+    """Return the deferred deletion that a message describes."""
+    return DeferredDeletion(
+        item=StoreItem(key=wire.key, value=None, revision=wire.revision),
+        known_since=now - wire.known_ms / 1000,
+        due_at=float("inf"),
+        latest_at=float("inf"),
+        reason=DeferralReason.OTHER_HOST,
+    )
+
+
 def report_to_wire(report: SlownessReport, *, now: float) -> WireReport:
     """Return the wire form of a report."""
     return WireReport(
--- a/src/rhubarbway/services/copy_changes.py
+++ b/src/rhubarbway/services/copy_changes.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from rhubarbway.decisions.copy_freshness import Confirmation
+from rhubarbway.decisions.deferred_deletions import DeferredDeletion
 from rhubarbway.model import StoreItem
 
 
@@ -28,11 +29,14 @@
         The last answer by which the store confirmed that the copy is current.
     settled_revision, deletions_known_after : int
         Those of the copy (``StoreCopy``).
+    deferred : sequence of DeferredDeletion
+        Deletions that are known, but not applied to the copy.
     """
 
     __slots__ = (
         "complete",
         "confirmation",
+        "deferred",
         "deletions_known_after",
         "items",
         "revision",
@@ -52,7 +56,9 @@
         confirmation: Confirmation | None = None,
         settled_revision: int = 0,
         deletions_known_after: int = 0,
+        deferred: Sequence[DeferredDeletion] = (),
     ) -> None:
+        self.deferred = deferred
         self.complete = complete
         self.confirmation = confirmation or Confirmation()
         self.settled_revision = settled_revision
--- a/src/rhubarbway/services/deletion_deferral.py
+++ b/src/rhubarbway/services/deletion_deferral.py
@@ -90,24 +90,53 @@
         self.report(due, now=now)
         return due.items
 
+    def merge(self, deferred: Iterable[DeferredDeletion]) -> None:
+        """Record the deletions that another host has deferred and this copy lacks."""
+        merged = []
+        for deletion in deferred:
+            item = deletion.item
+            held = self.store_copy.items.get(item.key)
+            if held is None or held.revision >= item.revision or not is_server_key(item.key):
+                continue
+            new = self.known.merge(item, known_since=deletion.known_since)
+            if new is not None:
+                merged.append(new)
+        if merged:
+            result = DueChanges()
+            result.begun = merged
+            self.report(result, now=self.clock())
+
+    def changes_for_follower(self, *, after: int | None) -> list[DeferredDeletion]:
+        """Return the known deletions that a follower lacks; None for ``after`` returns all."""
+        return [
+            deletion
+            for _, deletion in self.known.all()
+            if after is None or deletion.sequence > after
+        ]
+
     def drop_known(self) -> None:
         """Drop the deletions that the copy has received from another host."""
-        if not self.known.deletions:
+        if not self.known.deletions and not self.known.elsewhere:
             return
         items = self.store_copy.items
         ended = self.known.drop_known(lambda key: items[key].revision if key in items else None)
         self.report(ended, now=self.clock())
 
     def report(self, due: DueChanges, *, now: float) -> None:
-        """Log the deferrals that have begun or ended, and pass them to the listeners."""
+        """Log the deferrals that have begun or ended, and pass them to the listeners.
+
+        The followers learn of those that have begun.
+        """
+        if due.begun:
+            sequence = self.store_copy.advance()
+            for deletion in due.begun:
+                deletion.sequence = sequence
         for reason in DeferralReason:
             self.log_servers(
                 "Deletions deferred.",
                 [deletion for deletion in due.begun if deletion.reason is reason],
                 reason=reason.value,
-                for_ms=round(
-                    max((deletion.due_at - now for deletion in due.begun), default=0.0) * 1000
-                ),
+                for_ms=self.longest_ms(deletion.due_at - now for deletion in due.begun),
             )
         for end in DeferralEnd:
             ended = [deletion for deletion, how in due.ended if how is end]
@@ -115,9 +144,7 @@
                 "Deferral of deletions ended.",
                 ended,
                 end=end.value,
-                longest_ms=round(
-                    max((now - deletion.known_since for deletion in ended), default=0.0) * 1000
-                ),
+                longest_ms=self.longest_ms(now - deletion.known_since for deletion in ended),
             )
         for deletion, end in due.ended:
             for listener in self.end_listeners:
@@ -135,9 +162,14 @@
         """Return the instants since which the deferred deletions are known, by server id."""
         return {
             key.removeprefix(SERVER_KEY_PREFIX): deletion.known_since
-            for key, deletion in self.known.deletions.items()
+            for key, deletion in self.known.all()
         }
 
+    def longest_ms(self, times_s: Iterable[float]) -> int | None:
+        """Return the longest of some times in milliseconds; None without any or without a bound."""
+        longest_s = max(times_s, default=float("inf"))
+        return round(longest_s * 1000) if longest_s < float("inf") else None
+
     def log_servers(self, event: str, deletions: list[DeferredDeletion], **details) -> None:
         """Log deletions, a limited number of servers in a line."""
         for start in range(0, len(deletions), SERVERS_PER_LINE):
@@ -145,7 +177,7 @@
             self.log.info(
                 event,
                 servers=[deletion.item.key.removeprefix(SERVER_KEY_PREFIX) for deletion in chunk],
-                deferred=len(self.known.deletions),
+                deferred=len(self.known.deletions) + len(self.known.elsewhere),
                 **details,
             )
 
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -429,13 +429,12 @@
         self.apply_losses(reply.losses, reply.singles)
         self.apply_reports(reply.reports)
         self.apply_leaving_marks(reply.leaving)
-        items = [feed_wire.item_from_wire(wire) for wire in reply.items]
-        self.registry.apply_changes(
-            items,
+        changes = Changes(
+            items=[feed_wire.item_from_wire(wire) for wire in reply.items],
             revision=reply.revision,
+            sequence=reply.after,
             whole=reply.whole,
             complete=reply.complete,
-            source=reply.sender.address,
             confirmation=Confirmation(
                 at=feed_wire.instant_from_age(reply.confirmed_age_ms, now=now),
                 reader=reply.confirmed_by,
@@ -443,7 +442,11 @@
             ),
             settled_revision=reply.settled,
             deletions_known_after=reply.deletions_known_after,
+            deferred=[
+                feed_wire.deferred_deletion_from_wire(wire, now=now) for wire in reply.deferred
+            ],
         )
+        self.registry.apply_received(changes, source=reply.sender.address)
 
     def record_failure(self, address: str, error: Exception) -> None:
         """Count a failed poll, and remove the polled host until another message mentions it."""
@@ -657,6 +660,10 @@
             deletions_known_after=changes.deletions_known_after,
             answers=answers,
             singles=self.own_singles(),
+            deferred=[
+                feed_wire.deferred_deletion_to_wire(deletion, now=time.monotonic())
+                for deletion in changes.deferred
+            ],
         )
         body = feed_wire.message_to_json(reply)
         headers = {}
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -20,6 +20,7 @@
     KnownConfirmations,
     is_stale,
 )
+from rhubarbway.decisions.deferred_deletions import DeferredDeletion
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
 from rhubarbway.model import BackendServer, StoreItem
@@ -142,6 +143,7 @@
         confirmation: Confirmation | None = None,
         settled_revision: int = 0,
         deletions_known_after: int = 0,
+        deferred: Sequence[DeferredDeletion] = (),
     ) -> None:
         """Apply changes, or a whole copy, to this copy and put what changed into force.
 
@@ -163,12 +165,15 @@
             afterwards if ``complete``.
         settled_revision, deletions_known_after : int
             Those of the source's copy (``StoreCopy``).
+        deferred : sequence of DeferredDeletion
+            Deletions that the source knows and has not applied.
         """
         with self.condition:
             apply_to_copy = self.store_copy.replace_all if whole else self.store_copy.apply
             sequence_before = self.store_copy.sequence
             changed_items = apply_to_copy(items, revision=revision if complete else 0)
             self.deferral.drop_known()
+            self.deferral.merge(deferred)
             if complete:
                 self.store_copy.follow(
                     settled_revision=settled_revision,
@@ -201,6 +206,7 @@
             confirmation=changes.confirmation,
             settled_revision=changes.settled_revision,
             deletions_known_after=changes.deletions_known_after,
+            deferred=changes.deferred,
         )
 
     def record_confirmation(self, confirmation: Confirmation) -> None:
@@ -217,7 +223,10 @@
     ) -> None:
         """Apply changes, or all items if ``whole``, read from the store; may defer deletions."""
         with self.condition:
+            sequence_before = self.store_copy.sequence
             changes = self.deferral.changes_to_apply(items, whole=whole, revision=revision)
+            if self.store_copy.sequence > sequence_before:
+                self.condition.notify_all()
             self.read_revision = max(self.read_revision, revision)
             if whole:
                 self.store_copy.record_unknown_deletions(revision)
@@ -287,6 +296,7 @@
             ):
                 self.condition.wait(wait_s)
             items = self.store_copy.changes_since(after) if after is not None else None
+            is_continued = items is not None
             if items is None and self.complete and settled_revision:
                 items = self.store_copy.changes_after_revision(settled_revision)
             elif items is not None:
@@ -302,6 +312,7 @@
                 confirmation=self.confirmation,
                 settled_revision=self.store_copy.settled_revision,
                 deletions_known_after=self.store_copy.deletions_known_after,
+                deferred=self.deferral.changes_for_follower(after=after if is_continued else None),
             )
 
     def settled_revision(self) -> int:
--- a/src/rhubarbway/services/tests/test_deletion_deferral.py
+++ b/src/rhubarbway/services/tests/test_deletion_deferral.py
@@ -114,3 +114,19 @@
                 if not any(f"i-{server}" in host.recorder.in_use for host in hosts):
                     delays_s[server] = clock.now - removed_at[server]
         assert len(delays_s) >= 15 and max(delays_s.values()) < 3.0
+
+    def test_a_new_reader_does_not_begin_the_deferral_anew(self):
+        """Guards against a removed server that stays in use while hosts replace each other as
+        readers: each reads its deletion again.
+        """
+        clock = Clock()
+        hosts = [Reader(clock=clock) for _ in range(4)]
+        hosts[0].registry.defer_deletions()
+        hosts[0].read([deletion(1, 200)], revision=200)
+        for host, successor in zip(hosts, hosts[1:], strict=False):
+            successor.follow(host)
+            clock.advance(0.7)
+            successor.read([deletion(1, 200)], revision=200)
+        clock.advance(0.2)
+        hosts[-1].read([], revision=200)
+        assert "i-1" not in hosts[-1].recorder.in_use
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -35,7 +35,7 @@
     apply_limit_s = 3.0
     stale = False
 
-    def apply_changes(self, items, **details):
+    def apply_received(self, changes, *, source):
         pass
 
     def is_copy_stale(self):
