Defer deletions at a new reader whose copy shows an outage that it did not see

Callers: when the store came back, a host that had just become a reader, or had restarted, could read the lapsed entries before any host that had seen the outage. It removed living servers at once, on all hosts.

Cause: only a failed call of the host itself counted as an outage.

Change: the first answer that a new reader gets ends an outage also if no other host had an answer for 2.4 s, the shortest outage in which an entry can lapse. A copy that was confirmed since then is no evidence of an outage, so removals stay in time when only the readers are cut off.

--- a/proofs/deletion_delay_model.py
+++ b/proofs/deletion_delay_model.py
@@ -110,6 +110,7 @@
         self.registry = RegistryService(clock=clock)
         self.registry.servers = self.registry.routing = self
         self.contact = StoreContact.IN_DOUBT
+        self.is_first_call = True
         self.reads_at = 0.0
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
         # By followed host, the sequence number of the last change received from it.
@@ -123,7 +124,11 @@
     def record(self, end: CallEnd) -> None:
         """Record the end of a call to the store, as the reader of the program does."""
         before, self.contact = self.contact, NEXT_CONTACT[self.contact, end]
-        if ends_outage(before, end):
+        is_first_call, self.is_first_call = self.is_first_call, False
+        copy_age_s = self.registry.copy_age_s()
+        if self.registry.complete and ends_outage(
+            before, end, is_first_call=is_first_call, copy_age_s=copy_age_s
+        ):
             self.registry.defer_deletions()
 
     def follow(self, followed: Host) -> None:
@@ -203,6 +208,7 @@
             is_reader = host in self.readers or host.registry.is_copy_stale()
             # A host without a copy asks the others for one first.
             has_copy = host.registry.complete
+            host.is_first_call = host.is_first_call or not is_reader
             if is_reader and has_copy and self.now >= host.reads_at:
                 steps.append(lambda host=host: self.call_store(host))
             others = [reader for reader in self.readers if reader is not host]
--- a/proofs/test_deletion_delay_model.py
+++ b/proofs/test_deletion_delay_model.py
@@ -65,3 +65,16 @@
         outages = [(3.0, 7.5), (8.5, 13.0), (14.0, 18.6)]
         plan = Plan(outages=outages, removals={}, lapsing=0.6)
         assert broken_promises(plan) == []
+
+    def test_a_host_that_reads_the_store_first_after_an_outage_drops_none(self):
+        """Guards against living servers that are dropped because a host becomes a reader, or
+        restarts, just when the store comes back, and has seen no outage.
+        """
+        plan = Plan(
+            outages=[(3.0, 3.0 + NOTICED_OUTAGE_S)],
+            removals={},
+            lapsing=0.2,
+            reader_changes=[7.8, 8.4, 9.0, 9.6],
+            restarts=[(7.0, 3), (8.0, 1), (8.6, 2)],
+        )
+        assert broken_promises(plan, seeds=range(24)) == []
--- a/src/rhubarbway/decisions/store_contact.py
+++ b/src/rhubarbway/decisions/store_contact.py
@@ -10,6 +10,10 @@
 
 from enum import Enum
 
+# Shortest outage in which an entry can lapse, seconds: it is removed after three status reports at
+# intervals of 1.2 s are missing, and the first of them may be due just after the outage began.
+MIN_LAPSE_OUTAGE_S = 2.4
+
 
 class StoreContact(Enum):
     """What the last calls of this host have shown.
@@ -48,16 +52,29 @@
 }
 
 
-def ends_outage(contact: StoreContact, end: CallEnd) -> bool:
+def ends_outage(
+    contact: StoreContact, end: CallEnd, *, is_first_call: bool = False, copy_age_s: float = 0.0
+) -> bool:
     """Return whether a call that ended so is the first answer after an outage of the store.
 
     Entries that lapsed in the outage are written again soon, so deletions are deferred from then.
 
+    Parameters
+    ----------
+    is_first_call : bool
+        Whether the host has just begun to read the store, so that it cannot have seen the outage.
+    copy_age_s : float
+        Time before the call since the store last answered any host that this one knows, seconds.
+
     Examples
     --------
     >>> ends_outage(StoreContact.AWAY, CallEnd.ANSWERED)
     True
     >>> ends_outage(StoreContact.IN_DOUBT, CallEnd.ANSWERED)
     False
+    >>> ends_outage(StoreContact.IN_DOUBT, CallEnd.ANSWERED, is_first_call=True, copy_age_s=4.0)
+    True
     """
-    return contact is StoreContact.AWAY and end is CallEnd.ANSWERED
+    if end is not CallEnd.ANSWERED:
+        return False
+    return contact is StoreContact.AWAY or (is_first_call and copy_age_s > MIN_LAPSE_OUTAGE_S)
--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -68,6 +68,7 @@
         "contact",
         "executor",
         "fleet",
+        "is_first_call",
         "log",
         "random",
         "registry",
@@ -80,6 +81,8 @@
         self.client = make_client()
         # What the calls of this host have shown of the store.
         self.contact = StoreContact.IN_DOUBT
+        # Whether this host has not called the store since it became a reader.
+        self.is_first_call = True
         # When the store last answered this host; -inf if the last call failed.
         self.store_answered_at = float("-inf")
         # When a call of this host to the store last failed.
@@ -115,6 +118,7 @@
             if not self.fleet.is_reader(
                 has_copy=self.registry.complete, copy_age_s=self.registry.copy_age_s()
             ):
+                self.is_first_call = True
                 self.forget_blindness()
                 self.stopping.wait(
                     ROLE_CHECK_INTERVAL_S if self.registry.complete else START_CHECK_INTERVAL_S
@@ -195,15 +199,20 @@
         """Record an answer of the store; after an outage, defer deletions for some time."""
         self.store_answered_at = time.monotonic()
         before, self.contact = self.contact, NEXT_CONTACT[self.contact, CallEnd.ANSWERED]
-        if before is self.contact:
-            return
-        self.fleet.set_blind(False)
-        if ends_outage(before, CallEnd.ANSWERED):
+        is_first_call, self.is_first_call = self.is_first_call, False
+        copy_age_s = self.registry.copy_age_s()
+        has_outage_ended = self.registry.complete and ends_outage(
+            before, CallEnd.ANSWERED, is_first_call=is_first_call, copy_age_s=copy_age_s
+        )
+        if before is not self.contact:
+            self.fleet.set_blind(False)
+        if has_outage_ended:
             self.registry.defer_deletions()
-            self.log.info("Store available again.")
+            self.log.info("Store available again.", copy_age_s=round(copy_age_s, 2))
 
     def record_store_failure(self, error: StoreError) -> None:
         """Record that a call of the store failed."""
+        self.is_first_call = False
         self.store_answered_at = float("-inf")
         self.store_failed_at = time.monotonic()
         end = CallEnd.REFUSED if error.problem is StoreProblem.REFUSED else CallEnd.LOST
