Prefer other servers to those whose deletion is deferred

Callers: while a deletion is held back after an outage, the server was chosen like any other, although it has most likely left and ends a few seconds later.

Change: its expected latency counts three times in the ranking, so it gets requests only while the others are much slower, or if there is no other. If the known deletions are so many that the entries have probably lapsed, all servers rank as before, since the others could not take the load.

--- a/src/rhubarbway/decisions/replica_ranking.py
+++ b/src/rhubarbway/decisions/replica_ranking.py
@@ -31,6 +31,9 @@
 # Additional latency of a cold server (one that has just started, see ``warm_at``), as a fraction of
 # the typical latency.
 COLD_PENALTY_FRACTION = 0.6
+# Factor of the expected latency of a replica whose entry was deleted, while the deletion is
+# deferred. The replica has probably left, and serves requests for a few seconds at most.
+DELETED_FACTOR = 3.0
 # Time over which a replica whose ejection has ended gets its share of the attempts back, seconds,
 # and the greatest factor of its expected latency during it. Each host draws the factor at random,
 # so that not all hosts return at the same moment.
@@ -126,6 +129,8 @@
     random = view.random
     if random is not None:
         cost_s *= 1.0 + RANK_JITTER * random.random()
+    if state.is_probably_gone:
+        cost_s *= DELETED_FACTOR
     if state.is_reserve:
         cost_s += RESERVE_COST_S
     since_ejection_s = view.now - state.ejected_until
--- a/src/rhubarbway/decisions/server_state.py
+++ b/src/rhubarbway/decisions/server_state.py
@@ -90,6 +90,8 @@
     deletion_known_since : float or None
         Instant at which this host learned that the entry of the server was deleted, if the deletion
         is deferred; None otherwise.
+    is_probably_gone : bool
+        Whether that deletion is one of a few, so that the entry has hardly lapsed in an outage.
     leaving : bool
         Whether the server has announced that it leaves.
     evacuated : bool
@@ -117,6 +119,7 @@
         "evacuated",
         "observed_at",
         "is_first_hand",
+        "is_probably_gone",
         "is_reserve",
         "leaving",
         "load",
@@ -151,6 +154,7 @@
         self.ejected_until = float("-inf")
         self.consecutive_ejections = 0
         self.deletion_known_since: float | None = None
+        self.is_probably_gone = False
         self.leaving = False
         self.evacuated = False
         self.needs_connection = False
--- a/src/rhubarbway/decisions/tests/test_replica_ranking.py
+++ b/src/rhubarbway/decisions/tests/test_replica_ranking.py
@@ -162,3 +162,19 @@
             answer(near, latency_s=TYPICAL_S * 1.2, at=step * 0.1)
             answer(far, latency_s=TYPICAL_S * 0.9, at=step * 0.1)
         assert choices([near, far], now=2.0)["near"] == 1000
+
+
+class TestDeletedServers:
+    def test_they_get_requests_only_while_the_others_are_much_slower(self):
+        """Load: a release after an outage of the store, so that deletions are deferred.
+
+        Guards against requests to servers that have left, and against the loss of servers that
+        live while the others are overloaded.
+        """
+        deleted, other = pool_of("deleted"), pool_of("other")
+        deleted.state.is_probably_gone = True
+        assert choices([deleted, other], now=1.0)["other"] == 1000
+        other.state.in_flight = dict.fromkeys(range(10), 0.99)
+        assert choices([deleted, other], now=1.0)["deleted"] == 1000
+        other.state.leaving = True
+        assert choices([deleted, other], now=1.0)["deleted"] == 1000
--- a/src/rhubarbway/services/servers.py
+++ b/src/rhubarbway/services/servers.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from rhubarbway.decisions.connection_subsets import USED_CONNECTION_FRACTION
+from rhubarbway.decisions.deferred_deletions import is_mass_deletion
 from rhubarbway.decisions.delegation import FanOutHost
 from rhubarbway.decisions.evacuation import EvacuatedZones, services_without_servers
 from rhubarbway.decisions.fleet_view import DEFAULT_HOST_COUNT, FleetMember
@@ -257,7 +258,16 @@
         with self.lock:
             self.deferred_deletions = known_since
             for pool in self.pools.values():
-                pool.state.deletion_known_since = known_since.get(pool.server.id)
+                self.mark_deletion(pool)
+
+    def mark_deletion(self, pool: ServerPool) -> None:
+        """Record in a pool whether its server's entry was deleted; the caller holds the lock."""
+        deletions = self.deferred_deletions
+        known_since = deletions.get(pool.server.id)
+        pool.state.deletion_known_since = known_since
+        pool.state.is_probably_gone = known_since is not None and not is_mass_deletion(
+            len(deletions), serving=len(self.servers)
+        )
 
     def set_evacuated_zones(self, zones: Collection[str]) -> None:
         """Stop using the servers of these zones, and use those of all others again."""
@@ -443,7 +453,7 @@
         )
         pool.state.quiet_until = self.notices.quiet_end(server.incarnation)
         pool.state.cold_limit = self.sharing.cold_limit(server)
-        pool.state.deletion_known_since = self.deferred_deletions.get(server.id)
+        self.mark_deletion(pool)
         self.log_cold_server(pool)
         return pool
 
--- a/src/rhubarbway/services/tests/test_servers.py
+++ b/src/rhubarbway/services/tests/test_servers.py
@@ -442,3 +442,27 @@
         """Guards against fewer servers to choose from where no cap binds."""
         service = self.service(host_count=40)
         assert len(service.pools_by_service["desk"]) == 3
+
+
+class TestDeferredDeletions:
+    def test_servers_whose_deletion_is_known_rank_behind_others_unless_most_are_deleted(self):
+        """Guards against requests to servers that have left, and against an uneven load while many
+        entries have lapsed in an outage.
+        """
+        servers = ServerService(
+            codec=ServerCodec(encode=unused, decode=unused, decode_notice=unused)
+        )
+        names = [f"s{number}" for number in range(10)]
+        servers.update(
+            [
+                BackendServer(id=name, service="desk", address=f"{name}:1", zone="north", slots=1)
+                for name in names
+            ],
+            [],
+        )
+        for deleted, expected in ((names[:2], names[:2]), (names[:6], []), ([], [])):
+            servers.set_deferred_deletions(dict.fromkeys(deleted, 5.0))
+            states = [pool.state for pool in servers.pools.values()]
+            known = [state.server.id for state in states if state.deletion_known_since == 5.0]
+            assert known == deleted
+            assert [state.server.id for state in states if state.is_probably_gone] == expected
