Let the soak remove servers after short outages of the store

The soak drained and evacuated servers, but never removed one that goes on serving, and its plan left out the time around outages. With every sixteenth seed it now has two short outages and removals that outlast the time in which hosts have to learn of them.

--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -19,6 +19,7 @@
     219: "a host ends because its settings change while it starts again",
 }
 LOAD_SEEDS = {
+    3: "servers are removed after short outages of the store",
     4: "an event is written to a connection that has the number of its closed descriptor",
     11: "the same, with hosts that share a core and fan-outs over ten shards",
 }
--- a/src/rhubarbway_standins/soak/checks.py
+++ b/src/rhubarbway_standins/soak/checks.py
@@ -35,8 +35,8 @@
 ABRUPT_HOST_FAULTS = frozenset({"host_kill", "host_pause"})
 # Limit for a killed host to start again and read what it needs, seconds.
 MAX_RESTART_S = 1.0
-# Limits for hosts to stop sending to a server that drains or is evacuated, and to reach the store
-# again after a fault, seconds.
+# Limits for hosts to stop sending to a server that drains, is removed or is evacuated, and to reach
+# the store again after a fault, seconds.
 MAX_DRAIN_DELAY_S = 3.0
 MAX_STORE_RECOVERY_S = 4.0
 # Statuses that guarantee that a request has not run and will not run.
@@ -239,7 +239,7 @@
 
 
 def check_withdrawn_servers(record: RunRecord) -> Iterable[str]:
-    """Check that servers that drain or are evacuated soon get no more requests.
+    """Check that servers that drain, are removed or are evacuated soon get no more requests.
 
     Only periods in which hosts can know of that are checked.
     """
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -186,6 +186,19 @@
     return end
 
 
+def server_removed(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Remove a server's entry while it goes on serving, and register it at the end of the fault."""
+    replica = testbed.site.replicas[target_index]
+    testbed.site.store.delete(f"servers/{replica.server_id}")
+    end_withdrawal = testbed.begin_withdrawal([replica.server_id])
+
+    def end() -> None:
+        end_withdrawal()
+        testbed.register_server(target_index)
+
+    return end
+
+
 def zone_evacuated(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Ask for the evacuation of a zone, and take it back at the end."""
     zone = ZONES[target_index]
@@ -276,6 +289,7 @@
     "server_replies_cut_short": server_path_fault(RESPONSE, truncate=TRUNCATE_AFTER_BYTES),
     "server_paused": server_paused,
     "server_drained": server_drained,
+    "server_removed": server_removed,
     "store_refuses": store_mode_fault(StoreMode.REFUSING),
     "store_silent": store_mode_fault(StoreMode.SILENT),
     "store_forgets": store_forgets,
--- a/src/rhubarbway_standins/soak/plan.py
+++ b/src/rhubarbway_standins/soak/plan.py
@@ -72,12 +72,25 @@
 EVACUATION_REMAINDER = 2
 MIN_EVACUATION_S = 4.0
 MAX_EVACUATION_S = 6.0
+# A few seeds have servers that are removed from the store and go on serving, after short outages of
+# the store. A removal lasts longer than hosts may take to learn of it.
+REMOVAL_KIND = "server_removed"
+REMOVAL_PERIOD = 16
+REMOVAL_REMAINDER = 3
+MIN_REMOVAL_S = 4.5
+MAX_REMOVAL_S = 6.0
+REMOVAL_INTERVAL_S = 2.0
+OUTAGES_BEFORE_REMOVALS = 2
+MIN_OUTAGE_S = 0.2
+MAX_OUTAGE_S = 1.0
 STORE_FAULTS = {"store_refuses": 2, "store_silent": 2, "store_forgets": 1, "configuration": 4}
 # Faults that may delay updates to hosts. Every other run with evacuations has none of them, so that
 # the time until hosts have learned of an evacuation is checked.
 UPDATE_DELAYING_FAULTS = frozenset(
     HOST_FAULTS | LATER_HOST_FAULTS | STORE_FAULTS | LATER_STORE_FAULTS
 )
+# Faults that write the entry of a server, which would end a removal before its time.
+REGISTERING_FAULTS = frozenset({"server_drained", "server_restarted", "server_cold"})
 
 
 class PlannedFault:
@@ -105,9 +118,15 @@
     """Return the faults, bursts and evacuations of a run."""
     faults = plan_faults(seed=seed, duration_s=duration_s, hosts=hosts, servers=servers)
     evacuations = plan_evacuations(seed=seed, duration_s=duration_s, zones=zones)
-    if evacuations and seed % (2 * EVACUATION_PERIOD) == EVACUATION_REMAINDER:
-        faults = [fault for fault in faults if fault.kind not in UPDATE_DELAYING_FAULTS]
-    return faults + plan_load(seed=seed, duration_s=duration_s) + evacuations
+    removals = plan_removals(seed=seed, duration_s=duration_s, servers=servers)
+    has_few_evacuations = seed % (2 * EVACUATION_PERIOD) == EVACUATION_REMAINDER
+    left_out = frozenset()
+    if removals:
+        left_out = UPDATE_DELAYING_FAULTS | REGISTERING_FAULTS
+    elif evacuations and has_few_evacuations:
+        left_out = UPDATE_DELAYING_FAULTS
+    faults = [fault for fault in faults if fault.kind not in left_out]
+    return faults + plan_load(seed=seed, duration_s=duration_s) + evacuations + removals
 
 
 def plan_faults(*, seed: int, duration_s: float, hosts: int, servers: int) -> list[PlannedFault]:
@@ -225,6 +244,37 @@
     return evacuations
 
 
+def plan_removals(*, seed: int, duration_s: float, servers: int) -> list[PlannedFault]:
+    """Return short outages of the store, and the servers that are removed during and after them.
+
+    Examples
+    --------
+    >>> plan_removals(seed=1, duration_s=20.0, servers=8)
+    []
+    >>> sorted({fault.kind for fault in plan_removals(seed=3, duration_s=20.0, servers=8)})
+    ['server_removed', 'store_refuses', 'store_silent']
+    """
+    if seed % REMOVAL_PERIOD != REMOVAL_REMAINDER:
+        return []
+    random = Random(f"removals {seed}")
+    latest_end = duration_s - FAULT_FREE_END_S
+    planned: list[PlannedFault] = []
+    begin = FAULT_FREE_START_S
+    for kind in random.sample(["store_refuses", "store_silent"], OUTAGES_BEFORE_REMOVALS):
+        end = begin + random.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
+        planned.append(PlannedFault(kind=kind, target_index=0, begin_s=begin, end_s=end))
+        begin = end + random.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
+    for server in random.sample(range(servers), servers):
+        end = begin + random.uniform(MIN_REMOVAL_S, MAX_REMOVAL_S)
+        if end > latest_end:
+            break
+        planned.append(
+            PlannedFault(kind=REMOVAL_KIND, target_index=server, begin_s=begin, end_s=end)
+        )
+        begin += REMOVAL_INTERVAL_S
+    return planned
+
+
 def has_cold_servers(seed: int) -> bool:
     """Whether servers turn cold in a run."""
     return seed % COLD_PERIOD == COLD_REMAINDER
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -16,7 +16,7 @@
 
 
 class Withdrawal:
-    """Period in which a server is to get no requests: it drains, or its zone is evacuated.
+    """Period in which a server is to get no requests: it drains, is removed or evacuated.
 
     Times are ``time.monotonic()`` instants; ``ended_at`` is infinite until the period ends.
     """
--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -14,6 +14,7 @@
     LATER_SERVER_FAULTS,
     LATER_STORE_FAULTS,
     LOAD_KINDS,
+    REMOVAL_KIND,
     SERVER_FAULTS,
     STORE_FAULTS,
     plan_evacuations,
@@ -38,7 +39,7 @@
         """Guards against a planned kind of fault that has no function to inject it."""
         planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
         planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS | COLD_FAULTS
-        assert FAULTS.keys() == planned.keys() | {*LOAD_KINDS, EVACUATION_KIND}
+        assert FAULTS.keys() == planned.keys() | {*LOAD_KINDS, EVACUATION_KIND, REMOVAL_KIND}
 
     def test_faults_overlap_and_come_in_series(self):
         """Guards against plans in which no faults overlap, or only those of different kinds."""
