--- a/src/rhubarbway/decisions/deferred_deletions.py
+++ b/src/rhubarbway/decisions/deferred_deletions.py
@@ -140,9 +140,9 @@
 
     Attributes
     ----------
-    deletions : dict of str to DeferredDeletion
+    read_here : dict of str to DeferredDeletion
         Deletions by key that this host has read and deferred.
-    elsewhere : dict of str to DeferredDeletion
+    read_elsewhere : dict of str to DeferredDeletion
         Those that only other hosts have read.
     until : float
         Instant before which the deletions that are read are deferred, to this instant.
@@ -163,12 +163,12 @@
     ['a']
     """
 
-    __slots__ = ("deletions", "elsewhere", "may_lapse", "read_at", "reason", "until")
+    __slots__ = ("may_lapse", "read_at", "read_elsewhere", "read_here", "reason", "until")
 
     def __init__(self, *, may_lapse: Callable[[str], bool]) -> None:
         self.may_lapse = may_lapse
-        self.deletions: dict[str, DeferredDeletion] = {}
-        self.elsewhere: dict[str, DeferredDeletion] = {}
+        self.read_here: dict[str, DeferredDeletion] = {}
+        self.read_elsewhere: dict[str, DeferredDeletion] = {}
         self.until = float("-inf")
         self.reason = DeferralReason.OUTAGE
         self.read_at = float("-inf")
@@ -183,21 +183,21 @@
         self.reason = reason
         if reason is not DeferralReason.OUTAGE:
             return
-        for deletion in self.deletions.values():
+        for deletion in self.read_here.values():
             deletion.latest_at += now - max(self.read_at, deletion.known_since)
             deletion.due_at = min(self.until, deletion.latest_at)
 
-    def all(self) -> Iterator[tuple[str, DeferredDeletion]]:
+    def known_deletions(self) -> Iterator[tuple[str, DeferredDeletion]]:
         """Yield keys and deletions that are known, also those that only other hosts have read."""
-        yield from self.deletions.items()
-        yield from self.elsewhere.items()
+        yield from self.read_here.items()
+        yield from self.read_elsewhere.items()
 
     def merge(self, item: StoreItem, *, known_since: float) -> DeferredDeletion | None:
         """Record a deletion that another host has deferred; return it if it was not known.
 
         The earliest time counts, since the time that a message takes makes it seem later.
         """
-        known = self.deletions.get(item.key) or self.elsewhere.get(item.key)
+        known = self.read_here.get(item.key) or self.read_elsewhere.get(item.key)
         if known is None or known.item.revision < item.revision:
             deletion = DeferredDeletion(
                 item=item,
@@ -206,18 +206,18 @@
                 latest_at=float("inf"),
                 reason=DeferralReason.OTHER_HOST,
             )
-            if item.key not in self.deletions:
-                self.elsewhere[item.key] = deletion
+            if item.key not in self.read_here:
+                self.read_elsewhere[item.key] = deletion
                 return deletion
         elif known.item.revision == item.revision and known_since < known.known_since:
             known.known_since = known_since
-            if item.key in self.deletions and known.reason is DeferralReason.OTHER_HOST:
+            if item.key in self.read_here and known.reason is DeferralReason.OTHER_HOST:
                 known.due_at = min(known.due_at, known_since + LAPSE_GRACE_S)
         return None
 
     def next_due_at(self) -> float:
         """Return the instant at which the next deletion is due; inf without any."""
-        return min((deletion.due_at for deletion in self.deletions.values()), default=float("inf"))
+        return min((deletion.due_at for deletion in self.read_here.values()), default=float("inf"))
 
     def due_changes(
         self,
@@ -238,30 +238,30 @@
         self.read_at = now
         result = DueChanges()
         for item in changes:
-            known = self.deletions.pop(item.key, None)
-            read_elsewhere = self.elsewhere.pop(item.key, None)
+            known = self.read_here.pop(item.key, None)
+            other = self.read_elsewhere.pop(item.key, None)
             if item.value is not None or not self.may_lapse(item.key):
-                ended = known or read_elsewhere
+                ended = known or other
                 if ended is not None:
                     result.ended.append((ended, DeferralEnd.WRITTEN_AGAIN))
                 result.items.append(item)
                 continue
             known_since = now
-            if read_elsewhere is not None:
-                known_since = min(now, read_elsewhere.known_since)
+            if other is not None:
+                known_since = min(now, other.known_since)
             deletion = known or self.new_deletion(
                 item,
                 now=now,
                 known_since=known_since,
-                elsewhere=read_elsewhere is not None or is_deferred_elsewhere(item),
+                elsewhere=other is not None or is_deferred_elsewhere(item),
             )
             deletion.item = item
-            self.deletions[item.key] = deletion
+            self.read_here[item.key] = deletion
             if known is None and deletion.due_at > now:
                 result.begun.append(deletion)
-        for key, deletion in list(self.deletions.items()):
+        for key, deletion in list(self.read_here.items()):
             if deletion.due_at <= now:
-                del self.deletions[key]
+                del self.read_here[key]
                 result.items.append(deletion.item)
                 if deletion.known_since < now:
                     result.ended.append((deletion, DeferralEnd.APPLIED))
@@ -285,7 +285,7 @@
             reason=reason,
         )
 
-    def drop_known(self, revision_of: Callable[[str], int | None]) -> DueChanges:
+    def drop_received(self, revision_of: Callable[[str], int | None]) -> DueChanges:
         """Drop the deletions that the copy has received from another host.
 
         Parameters
@@ -299,12 +299,12 @@
             The deferrals that have ended; there is nothing to apply.
         """
         result = DueChanges()
-        for key, deletion in list(self.all()):
+        for key, deletion in list(self.known_deletions()):
             revision = revision_of(key)
             if revision is not None and revision <= deletion.item.revision:
                 continue
-            self.deletions.pop(key, None)
-            self.elsewhere.pop(key, None)
+            self.read_here.pop(key, None)
+            self.read_elsewhere.pop(key, None)
             end = DeferralEnd.RECEIVED if revision is None else DeferralEnd.WRITTEN_AGAIN
             result.ended.append((deletion, end))
         return result
--- a/src/rhubarbway/services/deletion_deferral.py
+++ b/src/rhubarbway/services/deletion_deferral.py
@@ -39,7 +39,7 @@
 
     Attributes
     ----------
-    known : DeferredDeletions
+    deferred : DeferredDeletions
         The deletions that are held back.
     end_listeners : list of callable
         Called with ``reason``, ``end`` and ``seconds`` of each deferral that has ended.
@@ -48,19 +48,19 @@
         the set of these deletions changes.
     """
 
-    __slots__ = ("change_listeners", "clock", "end_listeners", "known", "log", "store_copy")
+    __slots__ = ("change_listeners", "clock", "deferred", "end_listeners", "log", "store_copy")
 
     def __init__(self, *, store_copy: StoreCopy, clock: Callable[[], float]) -> None:
         self.store_copy = store_copy
         self.clock = clock
-        self.known = DeferredDeletions(may_lapse=is_server_key)
+        self.deferred = DeferredDeletions(may_lapse=is_server_key)
         self.end_listeners: list[Callable[..., None]] = []
         self.change_listeners: list[Callable[[dict[str, float]], None]] = []
         self.log = component_logger("registry")
 
-    def begin(self) -> None:
+    def begin_after_outage(self) -> None:
         """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
-        self.known.defer(now=self.clock(), reason=DeferralReason.OUTAGE)
+        self.deferred.defer(now=self.clock(), reason=DeferralReason.OUTAGE)
 
     def changes_to_apply(
         self, items: Sequence[StoreItem], *, whole: bool, revision: int
@@ -81,8 +81,8 @@
         if whole:
             changes += self.deletions_of_unlisted(items, revision=revision)
         if self.are_entries_lapsed(changes):
-            self.known.defer(now=now, reason=DeferralReason.MASS_DELETION)
-        due = self.known.due_changes(
+            self.deferred.defer(now=now, reason=DeferralReason.MASS_DELETION)
+        due = self.deferred.due_changes(
             changes,
             now=now,
             is_deferred_elsewhere=lambda item: not whole and self.is_deferred_elsewhere(item),
@@ -90,15 +90,15 @@
         self.report(due, now=now)
         return due.items
 
-    def merge(self, deferred: Iterable[DeferredDeletion]) -> None:
+    def merge(self, received: Iterable[DeferredDeletion]) -> None:
         """Record the deletions that another host has deferred and this copy lacks."""
         merged = []
-        for deletion in deferred:
+        for deletion in received:
             item = deletion.item
             held = self.store_copy.items.get(item.key)
             if held is None or held.revision >= item.revision or not is_server_key(item.key):
                 continue
-            new = self.known.merge(item, known_since=deletion.known_since)
+            new = self.deferred.merge(item, known_since=deletion.known_since)
             if new is not None:
                 merged.append(new)
         if merged:
@@ -106,20 +106,22 @@
             result.begun = merged
             self.report(result, now=self.clock())
 
-    def changes_for_follower(self, *, after: int | None) -> list[DeferredDeletion]:
+    def news_for_follower(self, *, after: int | None) -> list[DeferredDeletion]:
         """Return the known deletions that a follower lacks; None for ``after`` returns all."""
         return [
             deletion
-            for _, deletion in self.known.all()
+            for _, deletion in self.deferred.known_deletions()
             if after is None or deletion.sequence > after
         ]
 
-    def drop_known(self) -> None:
+    def drop_received(self) -> None:
         """Drop the deletions that the copy has received from another host."""
-        if not self.known.deletions and not self.known.elsewhere:
+        if not self.deferred.read_here and not self.deferred.read_elsewhere:
             return
         items = self.store_copy.items
-        ended = self.known.drop_known(lambda key: items[key].revision if key in items else None)
+        ended = self.deferred.drop_received(
+            lambda key: items[key].revision if key in items else None
+        )
         self.report(ended, now=self.clock())
 
     def report(self, due: DueChanges, *, now: float) -> None:
@@ -162,7 +164,7 @@
         """Return the instants since which the deferred deletions are known, by server id."""
         return {
             key.removeprefix(SERVER_KEY_PREFIX): deletion.known_since
-            for key, deletion in self.known.all()
+            for key, deletion in self.deferred.known_deletions()
         }
 
     def longest_ms(self, times_s: Iterable[float]) -> int | None:
@@ -177,7 +179,7 @@
             self.log.info(
                 event,
                 servers=[deletion.item.key.removeprefix(SERVER_KEY_PREFIX) for deletion in chunk],
-                deferred=len(self.known.deletions) + len(self.known.elsewhere),
+                deferred=len(self.deferred.read_here) + len(self.deferred.read_elsewhere),
                 **details,
             )
 
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -172,7 +172,7 @@
             apply_to_copy = self.store_copy.replace_all if whole else self.store_copy.apply
             sequence_before = self.store_copy.sequence
             changed_items = apply_to_copy(items, revision=revision if complete else 0)
-            self.deferral.drop_known()
+            self.deferral.drop_received()
             self.deferral.merge(deferred)
             if complete:
                 self.store_copy.follow(
@@ -241,7 +241,7 @@
             confirmation=Confirmation(
                 at=self.clock(), reader=self.incarnation, number=next(self.answer_numbers)
             ),
-            settled_revision=0 if self.deferral.known.deletions else revision,
+            settled_revision=0 if self.deferral.deferred.read_here else revision,
         )
 
     def copy_age_s(self) -> float:
@@ -312,7 +312,7 @@
                 confirmation=self.confirmation,
                 settled_revision=self.store_copy.settled_revision,
                 deletions_known_after=self.store_copy.deletions_known_after,
-                deferred=self.deferral.changes_for_follower(after=after if is_continued else None),
+                deferred=self.deferral.news_for_follower(after=after if is_continued else None),
             )
 
     def settled_revision(self) -> int:
@@ -323,17 +323,17 @@
     def has_deferred_deletions(self) -> bool:
         """Return whether deletions were read that are not applied yet."""
         with self.condition:
-            return bool(self.deferral.known.deletions)
+            return bool(self.deferral.deferred.read_here)
 
     def deferral_end(self) -> float:
         """Return the instant at which the next deferred deletion is due; inf without any."""
         with self.condition:
-            return self.deferral.known.next_due_at()
+            return self.deferral.deferred.next_due_at()
 
     def defer_deletions(self) -> None:
         """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
         with self.condition:
-            self.deferral.begin()
+            self.deferral.begin_after_outage()
 
     def end_follower_waits(self) -> None:
         """Answer waiting followers now and later requests at once; called when the host stops."""
