--- a/src/rhubarbway/decisions/deferred_deletions.py
+++ b/src/rhubarbway/decisions/deferred_deletions.py
@@ -242,7 +242,8 @@
             other = self.read_elsewhere.pop(item.key, None)
             if item.value is not None or not self.may_lapse(item.key):
                 ended = known or other
-                if ended is not None:
+                # A deletion that is followed by a write in the same answer was never deferred.
+                if ended is not None and ended.known_since < now:
                     result.ended.append((ended, DeferralEnd.WRITTEN_AGAIN))
                 result.items.append(item)
                 continue
