--- a/src/rhubarbway/edge/tests/test_feed_wire.py
+++ b/src/rhubarbway/edge/tests/test_feed_wire.py
@@ -124,3 +124,29 @@
         assert (former.server, former.age_ms) == ("i", 1000)
         known = msgspec.json.decode(msgspec.json.encode(former), type=feed_wire.WireLoss)
         assert feed_wire.loss_from_wire(known, now=9.0).started_ms == 0
+
+
+class TestDeferredDeletions:
+    def test_the_time_since_the_first_reading_survives_a_message(self):
+        """Guards against a deferral that begins anew at each host that hears of it."""
+        deletion = feed_wire.deferred_deletion_from_wire(
+            feed_wire.WireDeferredDeletion(key="servers/i-1", revision=7, known_ms=1500), now=100.0
+        )
+        assert (deletion.item.value, deletion.item.revision) == (None, 7)
+        assert deletion.known_since == 98.5
+        wire = feed_wire.deferred_deletion_to_wire(deletion, now=100.25)
+        assert (wire.key, wire.known_ms) == ("servers/i-1", 1750)
+
+    def test_a_reply_of_an_earlier_version_has_none(self):
+        """Guards against hosts that cannot read the replies of hosts of an earlier version."""
+        member = {"address": "a:1", "zone": "z", "incarnation": "1", "age_ms": 0}
+        reply = {
+            "sender": list(member.values()),
+            "after": 1,
+            "revision": 2,
+            "whole": False,
+            "complete": True,
+            "items": [],
+            "members": [],
+        }
+        assert feed_wire.reply_from_json(json.dumps(reply).encode()).deferred == []
--- a/src/rhubarbway/services/tests/test_deletion_deferral.py
+++ b/src/rhubarbway/services/tests/test_deletion_deferral.py
@@ -5,24 +5,15 @@
 from rhubarbway.decisions.withdrawal import WithdrawalReason, withdrawal_reason
 from rhubarbway.model import StoreItem
 from rhubarbway.services.registry import RegistryService
-from rhubarbway.services.tests.test_registry import Clock, ServiceRecorder, deletion, entry
+from rhubarbway.services.tests.test_registry import Clock, FilledRegistry, deletion, entry
 
-SERVERS = 60
 
-
-class Reader:
-    """A host with the entries of 60 servers that reads the store at times."""
-
-    def __init__(self, *, clock):
-        self.recorder = ServiceRecorder()
-        self.registry = RegistryService(clock=clock)
-        self.registry.servers = self.recorder
-        self.registry.routing = self.recorder
-        self.read([entry(number) for number in range(SERVERS)], revision=100)
+class Reader(FilledRegistry):
+    """A host with the entries of 60 servers that reads the store at times, and other hosts."""
 
     def read(self, items, *, revision):
         """Apply what a watch of the store returns."""
-        self.registry.apply_store_changes(items, revision=revision, whole=False)
+        self.apply_changes(items, revision=revision)
 
     def follow(self, other):
         """Apply the changes of another host."""
@@ -66,9 +57,7 @@
 class TestWithdrawalReason:
     def test_each_way_to_leave_has_its_own(self):
         """Guards against a log that does not tell a removed entry from a draining one."""
-        server = next(iter(self.servers(number=1)))
-        other = next(iter(self.servers(number=1, born=8)))
-        draining = next(iter(self.servers(number=1, state="draining")))
+        server, other, draining = map(self.server, ({}, {"born": 8}, {"state": "draining"}))
         for listed, leaving, expected in (
             (None, False, WithdrawalReason.REMOVED),
             (other, False, WithdrawalReason.REPLACED),
@@ -79,10 +68,9 @@
             reason = withdrawal_reason(server.incarnation, listed=listed, leaving=leaving)
             assert reason is expected
 
-    def servers(self, *, number, **changes):
-        """Yield the server that an entry describes."""
-        registry = RegistryService()
-        yield registry.decode_server(entry(number, **changes))
+    def server(self, changes):
+        """Return the server that an entry with some changed fields describes."""
+        return RegistryService().decode_server(entry(1, **changes))
 
 
 class TestDeferralsOfSeveralHosts:
