Read the era of the store, and let its stand-in be restored from a copy

The header Store-Era of all answers says how often the store was restored from an older copy of itself; no code read it. Each page and each error of the client carries it now, 0 without the header. Nothing follows from it yet. The stand-in of the store makes copies and is restored from them: it gives revisions out again, answers 410 to watches that waited or that name a revision it does not have, and states its era. Entries of stand-in servers number their writes and come from one function.

--- a/src/rhubarbway/platform/store.py
+++ b/src/rhubarbway/platform/store.py
@@ -16,6 +16,7 @@
 from rhubarbway.edge.exchange_connection import ExchangeConnection
 from rhubarbway.edge.http_call import (
     CallError,
+    Reply,
     UnexpectedDataListener,
     ignore_unexpected_data,
 )
@@ -31,8 +32,12 @@
 # belong to an earlier watch, seconds. The store waits from when it has the request, so its own
 # answer is never early but by the difference of two clocks.
 EARLY_ANSWER_S = 0.01
-# Largest revision: other hosts decode it as an integer of 64 bits.
+# Largest revision and era: other hosts decode them as integers of 64 bits.
 MAX_REVISION = 2**63 - 1
+# Header of all answers: the era, which grows by one with each restore from an older copy.
+ERA_HEADER = "store-era"
+# Longest text of an era, digits; one that is longer is no era.
+MAX_ERA_DIGITS = 18
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
@@ -42,7 +47,8 @@
 
     ``UNREACHABLE`` means that no complete reply arrived. ``HISTORY_GONE`` is status 410: the store
     no longer has the changes after the requested revision. ``REFUSED`` is any other status but 200.
-    ``TOO_LARGE`` means that the reply exceeds the limit on replies.
+    ``TOO_LARGE`` means that the reply exceeds the limit on replies. ``OTHER_ERA`` means that the
+    reply is of another era of the store than the one to which the call belongs.
     """
 
     UNREACHABLE = "unreachable"
@@ -50,27 +56,39 @@
     HISTORY_GONE = "history_gone"
     BAD_BODY = "bad_body"
     TOO_LARGE = "too_large"
+    OTHER_ERA = "other_era"
 
 
 class StoreError(Exception):
-    """Raised when a call to the store gives no usable reply."""
+    """Raised when a call to the store gives no usable reply.
 
-    def __init__(self, problem: StoreProblem, detail: str) -> None:
+    Attributes
+    ----------
+    era : int
+        Era of the store that its reply states; 0 without one.
+    """
+
+    def __init__(self, problem: StoreProblem, detail: str, *, era: int = 0) -> None:
         super().__init__(f"{problem.value}: {detail}")
         self.problem = problem
+        self.era = era
 
 
 class StorePage:
     """A page of a listing, or the events of a watch.
 
-    ``revision`` is that of the store when it replied. A listing continues after the key of the last
-    item if ``has_more`` is true, a watch after ``revision``.
+    ``revision`` is that of the store when it replied, in its era ``era``, which is 0 if the store
+    states none. A listing continues after the key of the last item if ``has_more`` is true, a watch
+    after ``revision``.
     """
 
-    __slots__ = ("has_more", "items", "revision")
+    __slots__ = ("era", "has_more", "items", "revision")
 
-    def __init__(self, *, items: list[StoreItem], revision: int, has_more: bool = False) -> None:
+    def __init__(
+        self, *, items: list[StoreItem], revision: int, has_more: bool = False, era: int = 0
+    ) -> None:
         self.items = items
+        self.era = era
         self.revision = revision
         self.has_more = has_more
 
@@ -107,7 +125,7 @@
     items: msgspec.Raw | UnsetType = UNSET
 
 
-WireReply = TypeVar("WireReply", WireRange, WireEvents)
+OwnReply = TypeVar("OwnReply")
 
 RANGE_DECODER = msgspec.json.Decoder(WireRange)
 EVENTS_DECODER = msgspec.json.Decoder(WireEvents)
@@ -146,16 +164,17 @@
         # ``pathPrefix`` is the store's name for a prefix of keys.
         query = {"pathPrefix": prefix} | ({"after": after_key} if after_key else {})
 
-        def read() -> tuple[WireRange, bool]:
-            body = self.get("/v1/kv-range", query, timeout_s=READ_TIMEOUT_S)
-            wire = self.decode(RANGE_DECODER, body)
-            return wire, is_page_after(wire, after_key)
+        def read() -> tuple[tuple[WireRange, int], bool]:
+            reply = self.get("/v1/kv-range", query, timeout_s=READ_TIMEOUT_S)
+            wire = self.decode(RANGE_DECODER, reply.body)
+            return (wire, stated_era(reply)), is_page_after(wire, after_key)
 
-        wire = self.read_own_reply(read)
+        wire, era = self.read_own_reply(read)
         return StorePage(
             items=[item_from_wire(item) for item in wire.items or ()],
             revision=wire.at_rev,
             has_more=wire.has_more,
+            era=era,
         )
 
     def watch(self, prefix: str, *, after_revision: int, wait_s: float) -> StorePage:
@@ -170,20 +189,23 @@
         wait_ms = int(wait_s * 1000)
         query = {"pathPrefix": prefix, "after": after_revision, "waitMs": wait_ms}
 
-        def read() -> tuple[WireEvents, bool]:
+        def read() -> tuple[tuple[WireEvents, int], bool]:
             requested_at = time.monotonic()
-            body = self.get("/v1/kv-watch", query, timeout_s=wait_s + WATCH_MARGIN_S)
+            reply = self.get("/v1/kv-watch", query, timeout_s=wait_s + WATCH_MARGIN_S)
             waited_s = time.monotonic() - requested_at
-            wire = self.decode(EVENTS_DECODER, body)
+            wire = self.decode(EVENTS_DECODER, reply.body)
             is_early = waited_s < wait_ms / 1000 - EARLY_ANSWER_S
-            return wire, is_answer_after(wire, after_revision, is_early=is_early)
+            is_plausible = is_answer_after(wire, after_revision, is_early=is_early)
+            return (wire, stated_era(reply)), is_plausible
 
-        wire = self.read_own_reply(read)
+        wire, era = self.read_own_reply(read)
         return StorePage(
-            items=[item_from_wire(item) for item in wire.events or ()], revision=wire.at_rev
+            items=[item_from_wire(item) for item in wire.events or ()],
+            revision=wire.at_rev,
+            era=era,
         )
 
-    def read_own_reply(self, read: Callable[[], tuple[WireReply, bool]]) -> WireReply:
+    def read_own_reply(self, read: Callable[[], tuple[OwnReply, bool]]) -> OwnReply:
         """Return the reply of a call, which is repeated if the reply may be that of another call.
 
         Replies of the store do not name their request, and a second, late copy of an earlier one
@@ -203,8 +225,8 @@
         self.connection.disconnect()
         return read()[0]
 
-    def get(self, path: str, query: dict[str, object], *, timeout_s: float) -> bytes:
-        """Send a ``GET`` request and return the body of the reply.
+    def get(self, path: str, query: dict[str, object], *, timeout_s: float) -> Reply:
+        """Send a ``GET`` request and return the reply.
 
         Raises
         ------
@@ -236,8 +258,8 @@
             # The status may be that of an earlier call, and the reply to this one may follow.
             self.connection.disconnect()
             problem = PROBLEM_BY_STATUS.get(reply.status, StoreProblem.REFUSED)
-            raise StoreError(problem, f"status {reply.status}")
-        return reply.body
+            raise StoreError(problem, f"status {reply.status}", era=stated_era(reply))
+        return reply
 
     def decode(self, decoder: msgspec.json.Decoder, body: bytes):
         """Decode the body of a reply; close the connection if that fails.
@@ -273,6 +295,23 @@
         raise StoreError(StoreProblem.BAD_BODY, str(error)) from None
 
 
+def stated_era(reply: Reply) -> int:
+    """Return the era of the store that a reply states; 0 if it states none.
+
+    Examples
+    --------
+    >>> [
+    ...     stated_era(Reply(status=200, body=b"", headers=(("Store-Era", text),)))
+    ...     for text in ("7", "-7", "seven")
+    ... ]
+    [7, 0, 0]
+    """
+    for name, text in reply.headers:
+        if name.lower() == ERA_HEADER and text.isascii() and text.isdigit():
+            return int(text) if len(text) <= MAX_ERA_DIGITS else 0
+    return 0
+
+
 def is_page_after(wire: WireRange, after_key: str) -> bool:
     """Return whether a reply can be the page of a listing that follows a key.
 
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -12,7 +12,7 @@
 from werkzeug.wrappers import Request, Response
 
 from rhubarbway.edge.http_server import SOCKET_KEY, HttpServer
-from rhubarbway.edge.json_codec import encode_json
+from rhubarbway_standins.platform.entries import server_entry
 
 # Size of a record, and number of records in a reply.
 RECORD_BYTES = 16
@@ -86,6 +86,7 @@
         "on_arrival",
         "padding_bytes",
         "quiet_s",
+        "sequence",
         "server",
         "server_id",
         "service",
@@ -127,6 +128,8 @@
         self.lock = threading.Lock()
         self.on_arrival = on_arrival
         self.born_ms = FIRST_BORN_MS
+        # Number of entries that this process has written.
+        self.sequence = 0
         self.server = self.start_server(address)
 
     def start_server(self, address: tuple[str, int]) -> HttpServer:
@@ -144,6 +147,7 @@
     def restart(self) -> None:
         """Serve again after a stop, on the same address and under the same id."""
         self.born_ms += 1000
+        self.sequence = 0
         self.server = self.start_server(self.server.address)
 
     @property
@@ -152,20 +156,18 @@
         return "{}:{}".format(*self.server.address)
 
     def store_entry(self, **changes: object) -> bytes:
-        """Return the encoded entry of the replica in the store."""
-        return encode_json(
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slot_count,
-                "state": "draining" if self.draining else "ready",
-                "warmupLeftMs": self.warm_up_ms,
-                "sequence": 1,
-                "born": self.born_ms,
-            }
-            | changes
+        """Return the encoded entry that the replica writes to the store next."""
+        self.sequence += 1
+        return server_entry(
+            service=self.service,
+            address=str(changes.pop("address", self.address)),
+            zone=self.zone,
+            born_ms=self.born_ms,
+            sequence=self.sequence,
+            draining=self.draining,
+            slots=self.slot_count,
+            warm_up_ms=self.warm_up_ms,
+            **changes,
         )
 
     def stop(self) -> None:
--- a/src/rhubarbway_standins/platform/store.py
+++ b/src/rhubarbway_standins/platform/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's metadata store, with pages, watches, lost history and outages."""
+"""Stand-in for the platform's metadata store: pages, watches, lost history, outages, restores."""
 
 from __future__ import annotations
 
@@ -29,12 +29,48 @@
     SILENT = "silent"
 
 
+class StoreBackup:
+    """A copy of the store, from which it can be restored.
+
+    Attributes
+    ----------
+    items : dict of str to (bytes, int)
+        Values and revisions by key.
+    events : list of dict
+        Events of the history.
+    history_start, revision : int
+        Those of the store.
+    """
+
+    __slots__ = ("events", "history_start", "items", "revision")
+
+    def __init__(
+        self,
+        *,
+        items: dict[str, tuple[bytes, int]],
+        events: list[dict[str, Any]],
+        history_start: int,
+        revision: int,
+    ) -> None:
+        self.items = items
+        self.events = events
+        self.history_start = history_start
+        self.revision = revision
+
+
 class PlatformStore:
-    """Holds items and answers reads and watches; tests write to the store and make it fail."""
+    """Holds items and answers reads and watches; tests write to the store and make it fail.
+
+    Attributes
+    ----------
+    era : int
+        Stated in each answer; grows by one with each restore. 0 states none.
+    """
 
     __slots__ = (
         "calls",
         "changed",
+        "era",
         "events",
         "history_start",
         "items",
@@ -49,6 +85,7 @@
         # Watches from earlier revisions get status 410.
         self.history_start = 0
         self.revision = 1
+        self.era = 1
         self.calls = 0
         self.mode = StoreMode.UP
         self.changed = threading.Condition()
@@ -102,20 +139,51 @@
             self.history_start = self.revision
             self.changed.notify_all()
 
+    def backup(self) -> StoreBackup:
+        """Return a copy of the store."""
+        with self.changed:
+            return StoreBackup(
+                items=dict(self.items),
+                events=list(self.events),
+                history_start=self.history_start,
+                revision=self.revision,
+            )
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Come back from a copy; later changes are lost, and their revisions are given out again.
+
+        Waiting watches get status 410.
+        """
+        with self.changed:
+            self.items = dict(backup.items)
+            self.events = list(backup.events)
+            self.history_start = backup.history_start
+            self.revision = backup.revision
+            if self.era:
+                self.era += 1
+            self.changed.notify_all()
+
     def respond(self, request: Request) -> Response:
+        """Answer a call; each answer states the era, if there is one."""
+        with self.changed:
+            response = self.answer(request)
+            if self.era:
+                response.headers["Store-Era"] = str(self.era)
+            return response
+
+    def answer(self, request: Request) -> Response:
         """Answer a call as the mode prescribes; an unknown path gets status 404."""
         handlers = {
             "/v1/kv-key": self.answer_key,
             "/v1/kv-range": self.answer_range,
             "/v1/kv-watch": self.answer_watch,
         }
-        with self.changed:
-            self.calls += 1
-            self.changed.wait_for(lambda: self.mode is not StoreMode.SILENT)
-            if self.mode is StoreMode.REFUSING:
-                return Response(status=503)
-            handler = handlers.get(request.path)
-            return handler(request) if handler else Response(status=404)
+        self.calls += 1
+        self.changed.wait_for(lambda: self.mode is not StoreMode.SILENT)
+        if self.mode is StoreMode.REFUSING:
+            return Response(status=503)
+        handler = handlers.get(request.path)
+        return handler(request) if handler else Response(status=404)
 
     def answer_key(self, request: Request) -> Response:
         """Return one item, or status 404 if there is none with this key."""
@@ -138,8 +206,10 @@
     def answer_watch(self, request: Request) -> Response:
         """Return the events after a revision; wait for the first one, at most ``waitMs``.
 
-        The status is 410 if the history no longer holds all events after the revision.
+        The status is 410 if the history does not hold all events after the revision, or the store
+        is restored meanwhile.
         """
+        era = self.era
         prefix = request.args.get("pathPrefix", "")
         after = request.args.get("after", 0, type=int)
         wait_s = min(request.args.get("waitMs", 0, type=int) / 1000, MAX_WAIT_S)
@@ -154,13 +224,15 @@
         self.changed.wait_for(
             lambda: (self.mode is not StoreMode.SILENT and bool(later_events()))
             or after < self.history_start
+            or after > self.revision
+            or era != self.era
             or self.mode is StoreMode.REFUSING,
             timeout=wait_s,
         )
         self.changed.wait_for(lambda: self.mode is not StoreMode.SILENT)
         if self.mode is StoreMode.REFUSING:
             return Response(status=503)
-        if after < self.history_start:
+        if after < self.history_start or after > self.revision or era != self.era:
             return Response(status=410)
         body = {"events": later_events(), "atRev": self.revision}
         return Response(encode_json(body), content_type=JSON_TYPE)
