--- a/proofs/deletion_delay_model.py
+++ b/proofs/deletion_delay_model.py
@@ -20,6 +20,7 @@
     INITIAL_RETRY_DELAY_S,
     MAX_RETRY_DELAY_S,
 )
+from rhubarbway_standins.platform.entries import server_entry
 
 STEP_S = 0.1
 # Limits of the users' small sites, seconds: a server that was removed gets no request after the
@@ -32,10 +33,7 @@
 NOTICED_OUTAGE_S = 4.5
 # Interval at which a host polls the second host that it follows, seconds.
 BACKUP_POLL_S = 0.8
-ENTRY = (
-    b'{"service": "desk", "address": "10.0.0.1:80", "zone": "z", "slots": 3, "state": "ready",'
-    b' "version": "v1", "sequence": 1, "warmupLeftMs": 0, "born": 7}'
-)
+ENTRY = server_entry(service="desk", address="10.0.0.1:80", zone="z", born_ms=7, sequence=1)
 
 
 class PromiseBroken(Exception):
@@ -136,7 +134,7 @@
         changes = followed.registry.wait_for_changes(
             after=self.positions.get(followed),
             wait_s=0.0,
-            settled_revision=self.registry.settled_revision(),
+            settled_revision=self.registry.settled_position().revision,
         )
         self.positions[followed] = changes.sequence
         self.registry.apply_received(changes, source="host")
@@ -176,7 +174,7 @@
             return
         host.record(CallEnd.ANSWERED)
         host.retry_delay_s = INITIAL_RETRY_DELAY_S
-        changes = [item for _, item in self.log[host.registry.watch_start() :]]
+        changes = [item for _, item in self.log[host.registry.watch_start().revision :]]
         is_whole = not host.registry.complete
         latest = {item.key: item for _, item in self.log}
         listed = [item for item in latest.values() if item.value is not None]
--- a/src/rhubarbway/decisions/deferred_deletions.py
+++ b/src/rhubarbway/decisions/deferred_deletions.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 
-from rhubarbway.model import StoreItem
+from rhubarbway.model import StoreItem, StorePosition
 
 # Time for which deletions are deferred after an outage or a mass deletion, seconds. Entries that
 # lapsed during an outage are written again within about 2 s of the store's return.
@@ -50,12 +50,14 @@
     """How the deferral of a deletion ended.
 
     ``APPLIED``: the deletion was applied. ``RECEIVED``: another host had applied it.
-    ``WRITTEN_AGAIN``: the entry was written again.
+    ``WRITTEN_AGAIN``: the entry was written again. ``RESTORED``: the store was restored from an
+    older copy; the deletion is among what the copy keeps from earlier eras.
     """
 
     APPLIED = "applied"
     RECEIVED = "received"
     WRITTEN_AGAIN = "written_again"
+    RESTORED = "restored"
 
 
 def is_mass_deletion(deleted: int, *, serving: int) -> bool:
@@ -198,7 +200,7 @@
         The earliest time counts, since the time that a message takes makes it seem later.
         """
         known = self.read_here.get(item.key) or self.read_elsewhere.get(item.key)
-        if known is None or known.item.revision < item.revision:
+        if known is None or known.item.position < item.position:
             deletion = DeferredDeletion(
                 item=item,
                 known_since=known_since,
@@ -209,7 +211,7 @@
             if item.key not in self.read_here:
                 self.read_elsewhere[item.key] = deletion
                 return deletion
-        elif known.item.revision == item.revision and known_since < known.known_since:
+        elif known.item.position == item.position and known_since < known.known_since:
             known.known_since = known_since
             if item.key in self.read_here and known.reason is DeferralReason.OTHER_HOST:
                 known.due_at = min(known.due_at, known_since + LAPSE_GRACE_S)
@@ -286,13 +288,21 @@
             reason=reason,
         )
 
-    def drop_received(self, revision_of: Callable[[str], int | None]) -> DueChanges:
+    def end_all(self) -> DueChanges:
+        """Forget all deferred deletions, since the store was restored from an older copy."""
+        result = DueChanges()
+        result.ended = [(deletion, DeferralEnd.RESTORED) for _, deletion in self.known_deletions()]
+        self.read_here.clear()
+        self.read_elsewhere.clear()
+        return result
+
+    def drop_received(self, position_of: Callable[[str], StorePosition | None]) -> DueChanges:
         """Drop the deletions that the copy has received from another host.
 
         Parameters
         ----------
-        revision_of : callable
-            Returns the revision of the entry of a key in the copy, None if the copy has none.
+        position_of : callable
+            Returns the position of the entry of a key in the copy, None if the copy has none.
 
         Returns
         -------
@@ -301,11 +311,11 @@
         """
         result = DueChanges()
         for key, deletion in list(self.known_deletions()):
-            revision = revision_of(key)
-            if revision is not None and revision <= deletion.item.revision:
+            position = position_of(key)
+            if position is not None and position <= deletion.item.position:
                 continue
             self.read_here.pop(key, None)
             self.read_elsewhere.pop(key, None)
-            end = DeferralEnd.RECEIVED if revision is None else DeferralEnd.WRITTEN_AGAIN
+            end = DeferralEnd.RECEIVED if position is None else DeferralEnd.WRITTEN_AGAIN
             result.ended.append((deletion, end))
         return result
--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -1,19 +1,23 @@
 """A copy of the platform's store that entry hosts propagate to each other.
 
-Changes of one key are ordered by their revision in the store, so all copies converge whatever the
-order and the number of sources of the changes. Each applied change gets a sequence number of this
-copy. A follower, which is a host that gets changes from this one, asks for all changes after the
-last sequence number that it has received. A follower that comes from another host has no such
-number, but may have a copy that lacks no change up to a revision of the store; it asks for all
-changes after that revision.
+Changes of one key are ordered by their position in the store, which is a revision in an era, so all
+copies converge whatever the order and the number of sources of the changes. Each applied change
+gets a sequence number of this copy. A follower, which is a host that gets changes from this one,
+asks for all changes after the last sequence number that it has received. A follower that comes from
+another host has no such number, but may have a copy that lacks no change up to a revision of the
+store; it asks for all changes after that revision.
+
+A copy belongs to one era of the store. When a later one begins, it keeps what it knew until the new
+era shows the state of the key, or for some time (``decisions.restored_items``).
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
-from rhubarbway.model import StoreItem
+from rhubarbway.decisions.restored_items import Resolution, RestoredItems
+from rhubarbway.model import ItemEvidence, ItemSummary, KeyKind, StoreItem, StorePosition
 
 # A follower that lags by more changes than this gets a whole copy instead.
 MAX_LOGGED_CHANGES = 1024
@@ -21,6 +25,9 @@
 # There are more of them than logged changes, since the log needs those of its deletions.
 MAX_TOMBSTONES = 2048
 
+# Evidence of items whose position is that of another item.
+REVISED_EVIDENCE = frozenset({ItemEvidence.HELD, ItemEvidence.RELEASED})
+
 # Stands in the log for a sequence number that belongs to no change of an item.
 NO_KEY = ""
 
@@ -28,8 +35,17 @@
 class StoreCopy:
     """Items of the store by key, with a log of their changes.
 
+    Parameters
+    ----------
+    kind_of : callable
+        Returns the ``KeyKind`` of a key.
+    summarize : callable
+        Returns the ``ItemSummary`` of an item with a value, None if the value is invalid.
+
     Attributes
     ----------
+    era : int
+        Era of the store that the copy belongs to, and the following revisions with it.
     revision : int
         The copy contains all changes up to this revision of the store, except deletions that the
         caller has deferred.
@@ -43,6 +59,8 @@
     complete_from : int
         Lowest sequence number of this copy (no store revision) from which changes alone bring a
         follower up to date; a follower with a lower one needs the whole copy.
+    restored : RestoredItems
+        What the copy has kept from earlier eras, and which listed items it withholds.
 
     Examples
     --------
@@ -60,16 +78,28 @@
         "change_log",
         "complete_from",
         "deletions_known_after",
+        "era",
         "items",
+        "restored",
         "revision",
         "sequence",
         "settled_revision",
+        "summarize",
         "tombstones",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        kind_of: Callable[[str], KeyKind] = lambda key: KeyKind.OTHER,
+        summarize: Callable[[StoreItem], ItemSummary | None] = lambda item: None,
+    ) -> None:
+        self.summarize = summarize
+        self.restored = RestoredItems(kind_of=kind_of)
+        self.era = 0
         self.items: dict[str, StoreItem] = {}
-        self.tombstones: OrderedDict[str, int] = OrderedDict()
+        # Deletions by key.
+        self.tombstones: OrderedDict[str, StoreItem] = OrderedDict()
         # Sequence numbers and keys of changes, without values: a follower needs only the latest
         # value of a key, and superseded ones would fill the memory.
         self.change_log: deque[tuple[int, str]] = deque(maxlen=MAX_LOGGED_CHANGES)
@@ -88,62 +118,218 @@
         self.sequence += 1
         self.complete_from = self.sequence
 
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store that the copy has reached."""
+        return StorePosition(era=self.era, revision=self.revision)
+
+    @property
+    def settled_position(self) -> StorePosition:
+        """Position in the store up to which the copy lacks no change."""
+        return StorePosition(era=self.era, revision=self.settled_revision)
+
+    def begin_era(self, era: int, *, removed: Iterable[str], now: float) -> None:
+        """Begin a later era of the store; the caller applies a whole copy of it next.
+
+        Parameters
+        ----------
+        era : int
+            The era.
+        removed : iterable of str
+            Keys whose deletion was known, but deferred.
+        now : float
+            Current instant.
+        """
+        self.restored.begin_era(self.items, removed=removed, now=now)
+        self.era = era
+        self.revision = 0
+        self.settled_revision = 0
+        self.deletions_known_after = 0
+        self.mark_complete()
+
     def apply(self, items: Iterable[StoreItem], *, revision: int) -> list[StoreItem]:
-        """Apply changes and return those that were newer than what is known of their keys.
+        """Apply changes, and return what is in force for the keys whose values they changed.
 
         ``revision`` is the revision of the store that the copy has reached with these changes, or 0
         if earlier changes may be missing.
         """
-        changes = [item for item in items if self.apply_one(item)]
+        changes = [change for item in items if (change := self.apply_one(item)) is not None]
         self.revision = max(self.revision, revision)
         return changes
 
     def replace_all(self, items: Iterable[StoreItem], *, revision: int) -> list[StoreItem]:
         """Apply a whole copy of the store at a revision, and return what changed.
 
-        Keys that ``items`` lacks count as deleted, unless a later change of them is known.
+        Keys that ``items`` lacks count as deleted, unless a later change of them is known, or their
+        state is of an earlier era.
+        """
+        items = list(items)
+        listed = {item.key for item in items if item.value is not None or item.era == self.era}
+        deleted = self.deletions_of_unlisted(listed, revision=revision)
+        return self.apply([*deleted, *items], revision=revision)
+
+    def deletions_of_unlisted(self, listed: Collection[str], *, revision: int) -> list[StoreItem]:
+        """Return deletions of the keys that a whole copy of the era lacks.
+
+        The copy may also show that a withheld item is not in the store any more.
         """
-        listed = {item.key: item for item in items}
-        deleted = [
-            StoreItem(key=key, value=None, revision=max(revision, known.revision))
-            for key, known in self.items.items()
-            if key not in listed and known.revision <= revision
+        withheld = self.restored.withheld.items()
+        known_items = [*self.items.items(), *(kv for kv in withheld if kv[0] not in self.items)]
+        return [
+            StoreItem(key=key, value=None, revision=max(revision, known.revision), era=self.era)
+            for key, known in known_items
+            if key not in listed and known.era == self.era and known.revision <= revision
         ]
-        return self.apply([*deleted, *listed.values()], revision=revision)
 
-    def apply_one(self, item: StoreItem) -> bool:
-        """Apply one change and return whether it was newer than what is known of its key."""
-        known = self.items.get(item.key)
-        if known is not None:
-            # At an equal revision a deletion wins: a whole copy of that revision lacks the key.
-            is_newer = item.revision > known.revision or (
-                item.value is None and item.revision == known.revision
-            )
-        else:
-            # The store had no such key at the revision of the copy, so older changes are obsolete.
-            deleted_at = max(self.tombstones.get(item.key, 0), self.revision)
-            is_newer = item.value is not None and item.revision > deleted_at
-        if not is_newer:
-            if known is None and item.value is None:
+    def apply_one(self, item: StoreItem) -> StoreItem | None:
+        """Apply one change.
+
+        Returns
+        -------
+        StoreItem or None
+            The change if it has changed the value of its key, or the state that counts in its
+            place.
+        """
+        known = self.items.get(item.key) or self.tombstones.get(item.key)
+        if not self.is_news(item, known):
+            if item.value is None and item.key not in self.items:
                 self.record_deletion_of_unknown_key(item)
-            return False
+            return None
+        if known is not None:
+            resolved = self.resolve(item, known)
+            if resolved is None:
+                return None
+            item = resolved
         if item.value is None:
-            del self.items[item.key]
-            self.record_tombstone(item)
+            self.items.pop(item.key, None)
+            self.record_tombstone(item, known)
         else:
             self.items[item.key] = item
             self.tombstones.pop(item.key, None)
+        if item.era == self.era:
+            self.restored.discard(item.key)
+        else:
+            self.restored.missing.add(item.key)
         self.sequence += 1
         self.change_log.append((self.sequence, item.key))
-        return True
+        is_repetition = known is not None and known.era < item.era and known.value == item.value
+        return None if is_repetition else item
 
-    def record_tombstone(self, item: StoreItem) -> None:
-        """Keep the revision of a deletion, so that older changes of the key are ignored."""
-        self.tombstones[item.key] = max(item.revision, self.tombstones.get(item.key, 0))
+    def is_news(self, item: StoreItem, known: StoreItem | None) -> bool:
+        """Return whether a change is newer than what is known of its key."""
+        if item.value is None and item.key not in self.items:
+            return False
+        # The store had no such key at the revision of the copy, so older changes are obsolete.
+        is_obsolete = bool(self.revision) and item.position <= self.position
+        if known is None:
+            # A configuration is never deleted, so another host knows it from an earlier era.
+            is_kept = self.restored.kind_of(item.key) is KeyKind.CONFIGURATION
+            return is_kept or not is_obsolete
+        if known.value is None and is_obsolete and not self.is_release(item, known):
+            return False
+        if self.are_both_held(item, known) and item.value != known.value:
+            return self.later_of_held(item, known) is item
+        return item.supersedes(known)
+
+    def is_release(self, item: StoreItem, known: StoreItem) -> bool:
+        """Return whether a change puts a withheld item into force."""
+        return (
+            item.evidence is ItemEvidence.RELEASED
+            and known.evidence is ItemEvidence.HELD
+            and item.position == known.position
+        )
+
+    def are_both_held(self, item: StoreItem, known: StoreItem) -> bool:
+        """Return whether hosts hold different states of a key in place of one listed item."""
+        return (
+            item.position == known.position
+            and item.evidence is known.evidence is ItemEvidence.HELD
+            and None not in (item.value, known.value)
+        )
+
+    def later_of_held(self, item: StoreItem, known: StoreItem) -> StoreItem:
+        """Return the later one of two values that hosts hold in place of one listed item."""
+        resolution = self.restored.resolution(item, known, summarize=self.summarize)
+        return known if resolution is Resolution.LISTED else item
+
+    def resolve(self, item: StoreItem, known: StoreItem) -> StoreItem | None:
+        """Return what counts after a change of a known key; None if the known state stays as it is.
+
+        An item that a listing of a later era has may be an older state of its key.
+        """
+        if item.position == known.position and item.evidence is ItemEvidence.HELD:
+            if item.value is None and known.evidence is ItemEvidence.LISTED:
+                self.restored.withheld[item.key] = known
+            return item
+        is_configuration = self.restored.kind_of(item.key) is KeyKind.CONFIGURATION
+        is_carried = known.era < item.era or known.evidence is ItemEvidence.HELD
+        is_doubtful = item.evidence is ItemEvidence.LISTED and known.era < item.era
+        if item.value is None or not (is_doubtful or (is_configuration and is_carried)):
+            if item.evidence is not ItemEvidence.HELD:
+                self.restored.withheld.pop(item.key, None)
+            return item
+        resolution = self.restored.resolution(known, item, summarize=self.summarize)
+        if resolution is Resolution.LISTED:
+            return item
+        if known.value is None or resolution is Resolution.MISSING:
+            self.restored.withheld[item.key] = item
+        if resolution is Resolution.MISSING:
+            return None
+        return known.copied(era=item.era, revision=item.revision, evidence=ItemEvidence.HELD)
+
+    def is_withheld(self, key: str) -> bool:
+        """Return whether the store lists a key that does not count, since its deletion is later."""
+        deletion = self.tombstones.get(key)
+        return deletion is not None and deletion.evidence is ItemEvidence.HELD
+
+    def end_restored(self, *, now: float) -> list[StoreItem]:
+        """End the states of earlier eras that are due, and return what changed.
+
+        Parameters
+        ----------
+        now : float
+            Instant at which the store last confirmed the copy.
+        """
+        ended = []
+        for key in self.restored.due_missing(now=now):
+            listed = self.restored.withheld.get(key)
+            deletion = StoreItem(
+                key=key,
+                value=None,
+                revision=self.revision if listed is None else listed.revision,
+                era=self.era,
+                evidence=ItemEvidence.RELEASED if listed is None else ItemEvidence.HELD,
+            )
+            ended.append(deletion)
+        changes = self.apply(ended, revision=0)
+        released = [
+            item.copied(evidence=ItemEvidence.RELEASED)
+            for item in self.restored.due_withheld(now=now)
+            if not self.has_left(item)
+        ]
+        return changes + self.apply(released, revision=0)
+
+    def has_left(self, listed: StoreItem) -> bool:
+        """Return whether a withheld item is of a process that drained before it was removed."""
+        deletion = self.tombstones.get(listed.key)
+        summary = self.summarize(listed)
+        if deletion is None or deletion.last_summary is None or summary is None:
+            return False
+        known = deletion.last_summary
+        return known.draining and known.started_ms == summary.started_ms
+
+    def record_tombstone(self, item: StoreItem, known: StoreItem | None) -> None:
+        """Keep a deletion, so that older changes of the key are ignored."""
+        if known is not None:
+            summary = known.last_summary if known.value is None else self.summarize(known)
+            item = item.copied()
+            item.last_summary = later_summary(item.last_summary, summary)
+        self.tombstones[item.key] = item
         self.tombstones.move_to_end(item.key)
         if len(self.tombstones) > MAX_TOMBSTONES:
-            _, dropped_revision = self.tombstones.popitem(last=False)
-            self.deletions_known_after = max(self.deletions_known_after, dropped_revision)
+            _, dropped = self.tombstones.popitem(last=False)
+            if dropped.era == self.era:
+                self.record_unknown_deletions(dropped.revision)
 
     def record_deletion_of_unknown_key(self, item: StoreItem) -> None:
         """Keep the deletion of a key that this copy lacks.
@@ -151,9 +337,15 @@
         A host that lags may still send an older change of the key, and a follower that comes from
         another host may hold the key.
         """
-        if item.revision <= self.tombstones.get(item.key, 0):
+        known = self.tombstones.get(item.key)
+        if known is not None and not item.position > known.position:
+            return
+        if item.evidence is not ItemEvidence.HELD:
+            self.restored.withheld.pop(item.key, None)
+        elif self.revision and item.position <= self.position:
+            # The store has no such item any more at the revision of the copy.
             return
-        self.record_tombstone(item)
+        self.record_tombstone(item, known)
         self.sequence += 1
         self.change_log.append((self.sequence, item.key))
 
@@ -184,13 +376,7 @@
 
     def whole_copy(self) -> list[StoreItem]:
         """Return all items and all known deletions."""
-        return [
-            *self.items.values(),
-            *(
-                StoreItem(key=key, value=None, revision=deleted_at)
-                for key, deleted_at in self.tombstones.items()
-            ),
-        ]
+        return [*self.items.values(), *self.tombstones.values()]
 
     def changes_after_revision(self, revision: int) -> list[StoreItem] | None:
         """Return the items and deletions after a revision of the store.
@@ -200,13 +386,17 @@
         """
         if revision < self.deletions_known_after:
             return None
-        changed = [item for item in self.items.values() if item.revision > revision]
-        deleted = [
-            StoreItem(key=key, value=None, revision=deleted_at)
-            for key, deleted_at in self.tombstones.items()
-            if deleted_at > revision
-        ]
-        return changed + deleted
+        return [item for item in self.whole_copy() if self.is_change_after(item, revision)]
+
+    def is_change_after(self, item: StoreItem, revision: int) -> bool:
+        """Return whether a follower whose copy is settled at a revision may lack an item.
+
+        The revision does not tell for the states of earlier eras, nor for what is in force in place
+        of a listed item or after another state was.
+        """
+        if item.era < self.era:
+            return item.value is not None
+        return item.revision > revision or item.evidence in REVISED_EVIDENCE
 
     def changes_since(self, sequence: int) -> list[StoreItem] | None:
         """Return the present item, or the deletion, of each key changed after a sequence number.
@@ -226,7 +416,19 @@
 
     def latest_change(self, key: str) -> StoreItem | None:
         """Return the item of a key or its deletion; None if the tombstone was dropped."""
-        item = self.items.get(key)
-        if item is None and key in self.tombstones:
-            item = StoreItem(key=key, value=None, revision=self.tombstones[key])
-        return item
+        return self.items.get(key) or self.tombstones.get(key)
+
+
+def later_summary(first: ItemSummary | None, second: ItemSummary | None) -> ItemSummary | None:
+    """Return the later one of what two values of a key said; None if neither is known."""
+    if first is None or second is None:
+        return first or second
+    later = max(first, second, key=lambda summary: (summary.started_ms, summary.sequence))
+    if first.started_ms != second.started_ms:
+        return later
+    return ItemSummary(
+        started_ms=later.started_ms,
+        sequence=later.sequence,
+        draining=first.draining or second.draining,
+        version=later.version,
+    )
--- a/src/rhubarbway/edge/feed_wire.py
+++ b/src/rhubarbway/edge/feed_wire.py
@@ -17,7 +17,7 @@
 from rhubarbway.decisions.server_notices import LeavingMark
 from rhubarbway.decisions.slowness_reports import SlownessReport
 from rhubarbway.edge.json_codec import JsonError, decode_typed
-from rhubarbway.model import StoreItem
+from rhubarbway.model import ItemEvidence, ItemSummary, StoreItem
 
 FEED_PATH = "/v1/feed"
 # Longest name in a message, characters: addresses, zones, ids and digests are shorter.
@@ -66,12 +66,23 @@
 
 
 class WireItem(msgspec.Struct, array_like=True):
-    """A changed key; ``value`` is None for a deletion, and compressed if ``packed`` is true."""
+    """A changed key; ``value`` is None for a deletion, and compressed if ``packed`` is true.
+
+    ``eras_ago`` is the number of eras before that of the message in which the key changed, and
+    ``evidence`` a value of ``ItemEvidence``. For a deletion, ``started_ms``, ``sequence`` and
+    ``draining`` are those of the last entry, as far as it is known. Hosts of an earlier version
+    send and read the first four.
+    """
 
     key: str
     revision: Counter
     value: bytes | None
     packed: bool = False
+    eras_ago: Counter = 0
+    evidence: ItemEvidence = ItemEvidence.WRITTEN
+    started_ms: Counter = 0
+    sequence: Counter = 0
+    draining: bool = False
 
 
 class WireLoss(msgspec.Struct):
@@ -146,7 +157,9 @@
     ``members_digest`` is that of the members which the receiver knows. ``settled`` is the revision
     of the store up to which the sender's copy lacks no change, 0 without a complete copy; the reply
     to a first request then has the later changes only, if the receiver knows them all. ``number``
-    identifies the request among those of the sender, and is repeated in the reply.
+    identifies the request among those of the sender, and is repeated in the reply. ``era`` is the
+    era of the store to which the sender's copy and ``settled`` belong; 0 if it is not known, or
+    from a host of an earlier version.
     """
 
     sender: WireMember
@@ -162,6 +175,7 @@
     settled: Counter = 0
     number: Counter = 0
     singles: list[WireSingleLoss] = []
+    era: Counter = 0
 
 
 class FeedReply(msgspec.Struct):
@@ -176,7 +190,8 @@
     are empty from a host of an earlier version. ``settled`` and ``deletions_known_after`` are those
     of the sender's copy (``StoreCopy``). ``answers`` is the number of the request; None from a host
     of an earlier version. ``deferred`` are the deletions that the sender has deferred since
-    ``after`` of the request, or all of them in a first reply.
+    ``after`` of the request, or all of them in a first reply. ``era`` is the era of the store to
+    which the sender's copy belongs, like that of a request.
     """
 
     sender: WireMember
@@ -197,6 +212,7 @@
     answers: Counter | None = None
     singles: list[WireSingleLoss] = []
     deferred: list[WireDeferredDeletion] = []
+    era: Counter = 0
 
 
 REQUEST_DECODER = msgspec.json.Decoder(FeedRequest)
@@ -276,12 +292,20 @@
     )
 
 
-def item_to_wire(item: StoreItem) -> WireItem:
-    """Return the wire form of a changed item."""
-    if item.value is None or len(item.value) < COMPRESSION_THRESHOLD_BYTES:
-        return WireItem(key=item.key, revision=item.revision, value=item.value)
+def item_to_wire(item: StoreItem, *, era: int) -> WireItem:
+    """Return the wire form of a changed item for a message about a copy of an era."""
+    is_packed = item.value is not None and len(item.value) >= COMPRESSION_THRESHOLD_BYTES
+    summary = item.last_summary or ItemSummary()
     return WireItem(
-        key=item.key, revision=item.revision, value=compress_value(item.value), packed=True
+        key=item.key,
+        revision=item.revision,
+        value=compress_value(item.value) if is_packed else item.value,
+        packed=is_packed,
+        eras_ago=era - item.era,
+        evidence=item.evidence,
+        started_ms=summary.started_ms,
+        sequence=summary.sequence,
+        draining=summary.draining,
     )
 
 
@@ -317,8 +341,8 @@
     return value
 
 
-def item_from_wire(wire: WireItem) -> StoreItem:
-    """Return the changed item that a message describes.
+def item_from_wire(wire: WireItem, *, era: int) -> StoreItem:
+    """Return the changed item that a message about a copy of an era describes.
 
     Raises
     ------
@@ -326,7 +350,19 @@
         If a compressed value cannot be decompressed.
     """
     value = decompress_value(wire.value) if wire.packed and wire.value is not None else wire.value
-    return StoreItem(key=wire.key, value=value, revision=wire.revision)
+    summary = None
+    if wire.started_ms or wire.sequence:
+        summary = ItemSummary(
+            started_ms=wire.started_ms, sequence=wire.sequence, draining=wire.draining
+        )
+    return StoreItem(
+        key=wire.key,
+        value=value,
+        revision=wire.revision,
+        era=max(0, era - wire.eras_ago),
+        evidence=wire.evidence,
+        last_summary=summary,
+    )
 
 
 def loss_to_wire(loss: ServerLoss, *, now: float) -> WireLoss:
@@ -385,10 +421,12 @@
     )
 
 
-def deferred_deletion_from_wire(wire: WireDeferredDeletion, *, now: float) -> DeferredDeletion:
-    """Return the deferred deletion that a message describes."""
+def deferred_deletion_from_wire(
+    wire: WireDeferredDeletion, *, era: int, now: float
+) -> DeferredDeletion:
+    """Return the deferred deletion that a message about a copy of an era describes."""
     return DeferredDeletion(
-        item=StoreItem(key=wire.key, value=None, revision=wire.revision),
+        item=StoreItem(key=wire.key, value=None, revision=wire.revision, era=era),
         known_since=now - wire.known_ms / 1000,
         due_at=float("inf"),
         latest_at=float("inf"),
--- a/src/rhubarbway/edge/tests/test_feed_wire.py
+++ b/src/rhubarbway/edge/tests/test_feed_wire.py
@@ -8,7 +8,7 @@
 
 from rhubarbway.decisions.crash_guard import ServerLoss
 from rhubarbway.edge import feed_wire
-from rhubarbway.model import StoreItem
+from rhubarbway.model import ItemEvidence, ItemSummary, StoreItem, StorePosition
 
 ROUTE_COUNT = 1800
 
@@ -32,6 +32,10 @@
     return json.dumps({"version": 7, "routes": routes}).encode()
 
 
+# Era of the store in the messages of these tests.
+ERA = 5
+
+
 def encoded_reply(item):
     reply = feed_wire.FeedReply(
         sender=feed_wire.WireMember(address="a:1", zone="z", incarnation="i", age_ms=0),
@@ -39,8 +43,9 @@
         revision=9,
         whole=False,
         complete=True,
-        items=[feed_wire.item_to_wire(item)],
+        items=[feed_wire.item_to_wire(item, era=ERA)],
         members=[],
+        era=ERA,
     )
     return feed_wire.message_to_json(reply)
 
@@ -49,9 +54,37 @@
     @pytest.mark.parametrize("value", [None, b"", b"small", configuration()])
     def test_an_item_survives_encoding_and_decoding(self, value):
         """Guards against a value that compression or an absent value changes on the way."""
-        item = StoreItem(key="op/config", value=value, revision=9)
-        found = feed_wire.item_from_wire(feed_wire.reply_from_json(encoded_reply(item)).items[0])
-        assert (found.key, found.value, found.revision) == (item.key, item.value, item.revision)
+        item = StoreItem(key="op/config", value=value, revision=9, era=ERA)
+        found = self.decoded(encoded_reply(item))
+        assert (found.key, found.value, found.position) == (item.key, item.value, item.position)
+        assert found.evidence is ItemEvidence.WRITTEN and found.last_summary is None
+
+    def test_what_tells_an_older_state_from_a_later_one_survives_it(self):
+        """Guards against a removed server that a host takes into use after a restore of the store,
+        because a message lacks the era, the evidence or the process of its entry.
+        """
+        item = StoreItem(
+            key="servers/i-1",
+            value=None,
+            revision=900,
+            era=ERA - 2,
+            evidence=ItemEvidence.HELD,
+            last_summary=ItemSummary(started_ms=7, sequence=3, draining=True),
+        )
+        found = self.decoded(encoded_reply(item))
+        assert found.position == item.position and found.evidence is ItemEvidence.HELD
+        summary = found.last_summary
+        assert (summary.started_ms, summary.sequence, summary.draining) == (7, 3, True)
+
+    def test_an_item_of_an_earlier_version_is_of_the_era_of_its_message(self):
+        """Guards against a host of an earlier version whose messages cannot be read."""
+        wire = msgspec.json.decode(b'["k", 9, null]', type=feed_wire.WireItem)
+        assert feed_wire.item_from_wire(wire, era=0).position == StorePosition(era=0, revision=9)
+
+    def decoded(self, encoded):
+        """Return the item of an encoded reply."""
+        reply = feed_wire.reply_from_json(encoded)
+        return feed_wire.item_from_wire(reply.items[0], era=reply.era)
 
     def test_a_large_configuration_reaches_all_followers_in_time(self):
         """Guards against uncompressed configurations, which reach the followers too late.
@@ -72,7 +105,7 @@
         """Guards against damaged or oversized data that ends a task or fills the memory."""
         wire = feed_wire.WireItem(key="k", revision=1, value=data, packed=True)
         with pytest.raises(feed_wire.FeedError):
-            feed_wire.item_from_wire(wire)
+            feed_wire.item_from_wire(wire, era=ERA)
 
 
 class TestMembers:
@@ -130,9 +163,12 @@
     def test_the_time_since_the_first_reading_survives_a_message(self):
         """Guards against a deferral that begins anew at each host that hears of it."""
         deletion = feed_wire.deferred_deletion_from_wire(
-            feed_wire.WireDeferredDeletion(key="servers/i-1", revision=7, known_ms=1500), now=100.0
+            feed_wire.WireDeferredDeletion(key="servers/i-1", revision=7, known_ms=1500),
+            era=ERA,
+            now=100.0,
         )
-        assert (deletion.item.value, deletion.item.revision) == (None, 7)
+        assert deletion.item.value is None
+        assert deletion.item.position == StorePosition(era=ERA, revision=7)
         assert deletion.known_since == 98.5
         wire = feed_wire.deferred_deletion_to_wire(deletion, now=100.25)
         assert (wire.key, wire.known_ms) == ("servers/i-1", 1750)
--- a/src/rhubarbway/gateway.py
+++ b/src/rhubarbway/gateway.py
@@ -179,6 +179,7 @@
         lambda known_since: metrics.deletions.set_deferred(len(known_since)),
     ]
     registry.deferral.end_listeners.append(metrics.deletions.observe_deferral)
+    registry.eras.listeners.append(metrics.store_eras.record)
     registry.invalid_item_listeners.append(metrics.count_invalid_item)
     registry.confirmation_listeners.append(metrics.set_copy_confirmed)
     fleet = FleetService(
--- a/src/rhubarbway/model/__init__.py
+++ b/src/rhubarbway/model/__init__.py
@@ -32,7 +32,13 @@
 from rhubarbway.model.query import Query, SubQuery
 from rhubarbway.model.route import CallerLimits, Route, RoutingTable, SplitPart
 from rhubarbway.model.server_notice import Incarnation, ServerNotice, StatedLoad
-from rhubarbway.model.store_item import StoreItem
+from rhubarbway.model.store_item import (
+    ItemEvidence,
+    ItemSummary,
+    KeyKind,
+    StoreItem,
+    StorePosition,
+)
 
 __all__ = [
     "UNDELIVERED_ENDS",
@@ -56,7 +62,10 @@
     "ForwardedRequest",
     "HostIdentity",
     "Incarnation",
+    "ItemEvidence",
+    "ItemSummary",
     "JobPrefix",
+    "KeyKind",
     "ListedHost",
     "Manifest",
     "MemberRecord",
@@ -80,6 +89,7 @@
     "Shortage",
     "SplitPart",
     "StoreItem",
+    "StorePosition",
     "SubQuery",
     "Tenant",
     "VersionReport",
--- a/src/rhubarbway/services/copy_changes.py
+++ b/src/rhubarbway/services/copy_changes.py
@@ -14,6 +14,8 @@
 
     Parameters
     ----------
+    era : int
+        Era of the store that the copy belongs to; 0 if the sender does not state it.
     items : sequence of StoreItem
         Changed items, with value None for a deletion.
     revision : int
@@ -38,6 +40,7 @@
         "confirmation",
         "deferred",
         "deletions_known_after",
+        "era",
         "items",
         "revision",
         "sequence",
@@ -57,7 +60,9 @@
         settled_revision: int = 0,
         deletions_known_after: int = 0,
         deferred: Sequence[DeferredDeletion] = (),
+        era: int = 0,
     ) -> None:
+        self.era = era
         self.deferred = deferred
         self.complete = complete
         self.confirmation = confirmation or Confirmation()
--- a/src/rhubarbway/services/deletion_deferral.py
+++ b/src/rhubarbway/services/deletion_deferral.py
@@ -53,15 +53,29 @@
     def __init__(self, *, store_copy: StoreCopy, clock: Callable[[], float]) -> None:
         self.store_copy = store_copy
         self.clock = clock
-        self.deferred = DeferredDeletions(may_lapse=is_server_key)
+        self.deferred = DeferredDeletions(may_lapse=self.may_lapse)
         self.end_listeners: list[Callable[..., None]] = []
         self.change_listeners: list[Callable[[dict[str, float]], None]] = []
         self.log = component_logger("registry")
 
+    def may_lapse(self, key: str) -> bool:
+        """Return whether the deletion of a key may be that of a living server.
+
+        One of a listed entry that is not in use leaves nothing to hold back.
+        """
+        return is_server_key(key) and not self.store_copy.is_withheld(key)
+
     def begin_after_outage(self) -> None:
         """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
         self.deferred.defer(now=self.clock(), reason=DeferralReason.OUTAGE)
 
+    def begin_era(self) -> set[str]:
+        """Begin a later era of the store; return the keys whose deletions were deferred."""
+        keys = {key for key, _ in self.deferred.known_deletions()}
+        self.report(self.deferred.end_all(), now=self.clock())
+        self.begin_after_outage()
+        return keys
+
     def changes_to_apply(
         self, items: Sequence[StoreItem], *, whole: bool, revision: int
     ) -> list[StoreItem]:
@@ -79,7 +93,8 @@
         now = self.clock()
         changes = list(items)
         if whole:
-            changes += self.deletions_of_unlisted(items, revision=revision)
+            listed = {item.key for item in items}
+            changes += self.store_copy.deletions_of_unlisted(listed, revision=revision)
         if self.are_entries_lapsed(changes):
             self.deferred.defer(now=now, reason=DeferralReason.MASS_DELETION)
         due = self.deferred.due_changes(
@@ -96,7 +111,7 @@
         for deletion in received:
             item = deletion.item
             held = self.store_copy.items.get(item.key)
-            if held is None or held.revision >= item.revision or not is_server_key(item.key):
+            if held is None or held.position >= item.position or not is_server_key(item.key):
                 continue
             new = self.deferred.merge(item, known_since=deletion.known_since)
             if new is not None:
@@ -120,7 +135,7 @@
             return
         items = self.store_copy.items
         ended = self.deferred.drop_received(
-            lambda key: items[key].revision if key in items else None
+            lambda key: items[key].position if key in items else None
         )
         self.report(ended, now=self.clock())
 
@@ -183,17 +198,6 @@
                 **details,
             )
 
-    def deletions_of_unlisted(
-        self, items: Iterable[StoreItem], *, revision: int
-    ) -> list[StoreItem]:
-        """Return deletions of the keys that a list of the whole store lacks."""
-        listed = {item.key for item in items}
-        return [
-            StoreItem(key=key, value=None, revision=revision)
-            for key, known in self.store_copy.items.items()
-            if key not in listed and known.revision <= revision
-        ]
-
     def are_entries_lapsed(self, changes: Iterable[StoreItem]) -> bool:
         """Return whether changes delete so many entries that these have lapsed in an outage."""
         deleted_keys = [
@@ -222,7 +226,7 @@
             item.value is None
             and is_server_key(item.key)
             and known is not None
-            and known.revision < item.revision <= self.store_copy.revision
+            and known.position < item.position <= self.store_copy.position
         )
 
     def is_serving(self, key: str) -> bool:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -305,7 +305,8 @@
                 rejoin_at = now + REJOIN_INTERVAL_S
                 seed_index += 1
                 self.query_seed(seed_index)
-                if reply.settled > self.registry.settled_revision():
+                settled = self.registry.settled_position()
+                if reply.era in (0, settled.era) and reply.settled > settled.revision:
                     # The followed host has listed the store, so it may not know every deletion
                     # since this copy was settled, and its changes do not settle it any more.
                     source, after = "", 0
@@ -344,6 +345,7 @@
         FeedError
             If the response is malformed, its status is not 200, or it answers another request.
         """
+        settled = self.registry.settled_position()
         request = feed_wire.FeedRequest(
             sender=self.own_member(),
             source=source,
@@ -355,9 +357,10 @@
             leaving=self.own_leaving_marks(),
             members_only=members_only,
             members_digest=self.members_digest() if members_only else "",
-            settled=self.registry.settled_revision(),
+            settled=settled.revision,
             number=next(self.request_numbers),
             singles=self.own_singles(),
+            era=settled.era,
         )
         reply = connection.exchange(
             "POST",
@@ -430,7 +433,8 @@
         self.apply_reports(reply.reports)
         self.apply_leaving_marks(reply.leaving)
         changes = Changes(
-            items=[feed_wire.item_from_wire(wire) for wire in reply.items],
+            era=reply.era,
+            items=[feed_wire.item_from_wire(wire, era=reply.era) for wire in reply.items],
             revision=reply.revision,
             sequence=reply.after,
             whole=reply.whole,
@@ -443,7 +447,8 @@
             settled_revision=reply.settled,
             deletions_known_after=reply.deletions_known_after,
             deferred=[
-                feed_wire.deferred_deletion_from_wire(wire, now=now) for wire in reply.deferred
+                feed_wire.deferred_deletion_from_wire(wire, era=reply.era, now=now)
+                for wire in reply.deferred
             ],
         )
         self.registry.apply_received(changes, source=reply.sender.address)
@@ -613,6 +618,7 @@
             after=feed_request.after if after_is_valid else None,
             wait_s=min(feed_request.wait_ms / 1000, FEED_WAIT_S),
             settled_revision=feed_request.settled,
+            era=feed_request.era,
         )
         members = self.members_for_follower(
             feed_request.sender.address, is_first=not after_is_valid
@@ -626,7 +632,8 @@
         members: list[feed_wire.WireMember] = []
         if feed_request.members_digest != self.members_digest():
             members = self.members_for_follower(feed_request.sender.address, is_first=True)
-        nothing = Changes(items=(), revision=0, sequence=0, whole=False, complete=False)
+        era = self.registry.settled_position().era
+        nothing = Changes(items=(), revision=0, sequence=0, whole=False, complete=False, era=era)
         return self.encode_reply(nothing, members, answers=feed_request.number, compress=compress)
 
     def encode_reply(
@@ -648,7 +655,7 @@
             revision=changes.revision,
             whole=changes.whole,
             complete=changes.complete,
-            items=[feed_wire.item_to_wire(item) for item in changes.items],
+            items=[feed_wire.item_to_wire(item, era=changes.era) for item in changes.items],
             members=members,
             losses=self.own_losses(),
             reports=self.own_reports(),
@@ -664,6 +671,7 @@
                 feed_wire.deferred_deletion_to_wire(deletion, now=time.monotonic())
                 for deletion in changes.deferred
             ],
+            era=changes.era,
         )
         body = feed_wire.message_to_json(reply)
         headers = {}
--- a/src/rhubarbway/services/gateway_status.py
+++ b/src/rhubarbway/services/gateway_status.py
@@ -70,11 +70,16 @@
     def status(self) -> dict[str, object]:
         """Return the status document; times are seconds, and the age of the copy null without one.
 
+        ``store_era`` is 0 if the store states none. After a restore of the store,
+        ``states_kept`` is the number of keys whose state is of an earlier era, and
+        ``items_withheld`` that of listed items that are not in force.
+
         The age of an evacuation, and of a deletion that is not applied yet, counts from when this
         host learned of it.
         """
         now = time.monotonic()
         age_s = self.registry.copy_age_s()
+        era, kept_count, withheld_count = self.registry.eras.summary()
         with self.servers.lock:
             evacuated = self.servers.evacuated_zones.ages_s(now=now)
             in_use = self.servers.count_by_zone()
@@ -85,6 +90,9 @@
             "leaving": self.gateway.leaving.is_set(),
             "configuration_version": self.routing.version,
             "store_copy_age_s": round(age_s, 3) if math.isfinite(age_s) else None,
+            "store_era": era,
+            "states_kept": kept_count,
+            "items_withheld": withheld_count,
             "reads_store": self.fleet.is_reader(has_copy=self.registry.complete, copy_age_s=age_s),
             "evacuated_zones": {zone: round(age, 3) for zone, age in evacuated.items()},
             "servers_in_use": in_use,
--- a/src/rhubarbway/services/metrics.py
+++ b/src/rhubarbway/services/metrics.py
@@ -14,6 +14,7 @@
 
 from rhubarbway.kernel import Kernel
 from rhubarbway.services.deletion_metrics import DeletionMetrics
+from rhubarbway.services.era_metrics import EraMetrics
 from rhubarbway.services.latency_tally import LatencyTally
 from rhubarbway.services.shared_server_metrics import SharedServerMetrics
 
@@ -68,6 +69,7 @@
         "request_refusals",
         "shared_servers",
         "stopping",
+        "store_eras",
         "unexpected_data",
     )
 
@@ -79,6 +81,9 @@
         self.deletions = DeletionMetrics(
             registry=self.registry, queue_observation=self.queue_observation
         )
+        self.store_eras = EraMetrics(
+            registry=self.registry, queue_observation=self.queue_observation
+        )
         self.query_latency = Histogram(
             "rhubarbway_query_seconds",
             "Time from reading a query to its reply, by tenant and service.",
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -23,11 +23,13 @@
 from rhubarbway.decisions.deferred_deletions import DeferredDeletion
 from rhubarbway.decisions.store_copy import StoreCopy
 from rhubarbway.kernel import Kernel
-from rhubarbway.model import BackendServer, StoreItem
+from rhubarbway.model import BackendServer, ItemEvidence, StoreItem, StorePosition
 from rhubarbway.platform.configuration import CONFIGURATION_KEY, routing_table_from_json
 from rhubarbway.platform.evacuation_keys import EVACUATION_KEY_PREFIX, evacuated_zone
+from rhubarbway.platform.item_summaries import kind_of_key, summarize_item
 from rhubarbway.platform.registry_entries import SERVER_KEY_PREFIX, server_from_entry
 from rhubarbway.services.copy_changes import Changes
+from rhubarbway.services.copy_eras import CopyEras
 from rhubarbway.services.deletion_deferral import DeletionDeferral
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import ROUTING, SERVERS
@@ -66,6 +68,7 @@
         "condition",
         "complete",
         "deferral",
+        "eras",
         "follower_waits_ended",
         "followers_woken_at",
         "incarnation",
@@ -97,7 +100,7 @@
         self.copy_is_stale = False
         # Called with the age of each new confirmation, seconds.
         self.confirmation_listeners: list[Callable[[float], None]] = []
-        self.store_copy = StoreCopy()
+        self.store_copy = StoreCopy(kind_of=kind_of_key, summarize=summarize_item)
         self.condition = threading.Condition()
         self.complete = False
         # Whether followers are answered without waiting for a change.
@@ -107,6 +110,7 @@
         # The copy and the deferred deletions contain all changes up to this revision of the store.
         self.read_revision = 0
         self.deferral = DeletionDeferral(store_copy=self.store_copy, clock=self.clock)
+        self.eras = CopyEras(store_copy=self.store_copy, deferral=self.deferral, clock=self.clock)
         # Called with the kind of each value that cannot be used: ``server``, ``configuration`` or
         # ``evacuation``.
         self.invalid_item_listeners: list[Callable[..., None]] = []
@@ -124,13 +128,15 @@
     def stop(self) -> None:
         """End; the fleet service has already answered the waiting followers."""
 
-    def watch_start(self) -> int:
-        """Return the revision after which this host has to read the store.
+    def watch_start(self) -> StorePosition:
+        """Return the position after which this host has to read the store.
 
-        The copy may be at a later revision that another host sent without the deletions that it
-        has deferred.
+        The copy may be at a later one that another host sent without the deletions that it has
+        deferred. The revision is 0 if only a listing brings the copy up to date.
         """
-        return max(self.store_copy.settled_revision, self.read_revision)
+        with self.condition:
+            revision = max(self.store_copy.settled_revision, self.read_revision)
+            return StorePosition(era=self.store_copy.era, revision=revision)
 
     def apply_changes(
         self,
@@ -189,6 +195,7 @@
                 self.put_into_force(changed_items, source)
             if complete and confirmation is not None:
                 self.record_confirmation(confirmation)
+                self.end_restored_states(source)
             relay_step_s = RELAY_FRACTION * self.apply_limit_s
             is_news = self.confirmation.at >= self.confirmation_relayed + relay_step_s
             if self.store_copy.sequence > sequence_before or is_news:
@@ -197,31 +204,75 @@
 
     def apply_received(self, changes: Changes, *, source: str) -> None:
         """Apply the changes of the copy of another host, whose address is ``source``."""
-        self.apply_changes(
-            changes.items,
-            revision=changes.revision,
-            whole=changes.whole,
-            complete=changes.complete,
-            source=source,
-            confirmation=changes.confirmation,
-            settled_revision=changes.settled_revision,
-            deletions_known_after=changes.deletions_known_after,
-            deferred=changes.deferred,
-        )
+        with self.condition:
+            era = self.eras.era_of(changes.era)
+            if not self.eras.accepts(era, whole=changes.whole, has_copy=self.complete):
+                return
+            items = changes.items
+            if era != changes.era:
+                items = [item.copied(era=era) for item in items]
+            is_new_era = self.begin_era(era, source=source)
+            self.apply_changes(
+                items,
+                revision=changes.revision,
+                whole=changes.whole,
+                complete=changes.complete,
+                source=source,
+                confirmation=changes.confirmation,
+                settled_revision=changes.settled_revision,
+                deletions_known_after=changes.deletions_known_after,
+                deferred=changes.deferred,
+            )
+            if is_new_era:
+                self.eras.record_begun()
+
+    def begin_era(self, era: int, *, source: str) -> bool:
+        """Begin an era if it is later than that of the copy; return whether it is."""
+        if era <= self.store_copy.era:
+            return False
+        self.eras.begin(era, source=source)
+        self.read_revision = 0
+        return True
+
+    def end_restored_states(self, source: str) -> None:
+        """End the states of earlier eras that are due; the caller holds the lock."""
+        ended = self.eras.end_due(confirmed_at=self.confirmation.at)
+        if ended:
+            self.put_into_force(ended, source)
 
     def record_confirmation(self, confirmation: Confirmation) -> None:
         """Note that the copy was current at some instant; the caller holds the lock."""
         is_new = self.known_confirmations.is_new(confirmation)
         if not is_new or confirmation.at <= self.confirmation.at:
             return
+        self.eras.record_confirmation_gap(
+            ended_at=confirmation.at, seconds=confirmation.at - self.confirmation.at
+        )
         self.confirmation = confirmation
         for listener in self.confirmation_listeners:
             listener(self.clock() - confirmation.at)
 
     def apply_store_changes(
-        self, items: Sequence[StoreItem], *, revision: int, whole: bool
+        self, items: Sequence[StoreItem], *, revision: int, whole: bool, era: int = 0
     ) -> None:
-        """Apply changes, or all items if ``whole``, read from the store; may defer deletions."""
+        """Apply changes, or all items if ``whole``, read from the store; may defer deletions.
+
+        Changes of another era than that of the copy are ignored, unless they are all items of a
+        later one, with which the copy begins that era.
+        """
+        with self.condition:
+            era = era or self.store_copy.era
+            if not self.eras.accepts(era, whole=whole, has_copy=True):
+                return
+            is_new_era = self.begin_era(era, source="store")
+            evidence = ItemEvidence.LISTED if whole else ItemEvidence.WRITTEN
+            items = [item.copied(era=era, evidence=evidence) for item in items]
+            self.apply_read(items, revision=revision, whole=whole)
+            if is_new_era:
+                self.eras.record_begun()
+
+    def apply_read(self, items: Sequence[StoreItem], *, revision: int, whole: bool) -> None:
+        """Apply what was read in the era of the copy."""
         with self.condition:
             sequence_before = self.store_copy.sequence
             changes = self.deferral.changes_to_apply(items, whole=whole, revision=revision)
@@ -269,7 +320,7 @@
             self.log.info("Copy of the store is current again.", revision=self.store_copy.revision)
 
     def wait_for_changes(
-        self, *, after: int | None, wait_s: float, settled_revision: int = 0
+        self, *, after: int | None, wait_s: float, settled_revision: int = 0, era: int = 0
     ) -> Changes:
         """Return the changes after a sequence number, or the whole copy.
 
@@ -287,6 +338,8 @@
             Revision of the store up to which the follower's own copy lacks no change, 0 if it has
             none. Changes up to it are left out, and the later ones take the place of the whole copy
             if this host knows them all.
+        era : int
+            Era of the store to which that revision belongs; it says nothing in another one.
         """
         with self.condition:
             if (
@@ -295,13 +348,19 @@
                 and not self.follower_waits_ended
             ):
                 self.condition.wait(wait_s)
+            if era != self.store_copy.era:
+                settled_revision = 0
             items = self.store_copy.changes_since(after) if after is not None else None
             is_continued = items is not None
             if items is None and self.complete and settled_revision:
                 items = self.store_copy.changes_after_revision(settled_revision)
             elif items is not None:
                 # The follower may have got these changes from the other host that it follows.
-                items = [item for item in items if item.revision > settled_revision]
+                items = [
+                    item
+                    for item in items
+                    if self.store_copy.is_change_after(item, settled_revision)
+                ]
             whole = items is None
             return Changes(
                 items=self.store_copy.whole_copy() if items is None else items,
@@ -313,12 +372,14 @@
                 settled_revision=self.store_copy.settled_revision,
                 deletions_known_after=self.store_copy.deletions_known_after,
                 deferred=self.deferral.news_for_follower(after=after if is_continued else None),
+                era=self.store_copy.era,
             )
 
-    def settled_revision(self) -> int:
-        """Return the revision up to which the copy lacks no change, 0 without a whole copy."""
+    def settled_position(self) -> StorePosition:
+        """Return up to where the copy lacks no change; revision 0 without a whole copy."""
         with self.condition:
-            return self.store_copy.settled_revision if self.complete else 0
+            revision = self.store_copy.settled_revision if self.complete else 0
+            return StorePosition(era=self.store_copy.era, revision=revision)
 
     def has_deferred_deletions(self) -> bool:
         """Return whether deletions were read that are not applied yet."""
@@ -394,7 +455,7 @@
             return
         result = routing_table_from_json(item.value)
         if isinstance(result, Success):
-            self.routing.offer(result.unwrap(), source=source)
+            self.routing.offer(result.unwrap(), source=source, era=item.era)
             return
         findings = [str(finding) for finding in result.failure()][:8]
         if self.is_new_problem(item.key, "; ".join(findings), kind="configuration"):
--- a/src/rhubarbway/services/routing.py
+++ b/src/rhubarbway/services/routing.py
@@ -14,12 +14,16 @@
 
 
 class TableInForce:
-    """A routing table with its index. A request keeps it to the end, even if the table changes."""
+    """A routing table with its index. A request keeps it to the end, even if the table changes.
 
-    __slots__ = ("index", "table")
+    ``era`` is the era of the store in which the table was written or listed.
+    """
 
-    def __init__(self, *, table: RoutingTable) -> None:
+    __slots__ = ("era", "index", "table")
+
+    def __init__(self, *, table: RoutingTable, era: int = 0) -> None:
         self.table = table
+        self.era = era
         self.index = RouteIndex(table.routes)
 
 
@@ -51,28 +55,41 @@
         current = self.in_force
         return current.table.version if current else 0
 
-    def offer(self, table: RoutingTable, *, source: str) -> bool:
+    def offer(self, table: RoutingTable, *, source: str, era: int = 0) -> bool:
         """Put a table into force if it is newer than the current one; return whether it was.
 
+        A table with the version in force and other content is newer if it is of a later era: the
+        operator has given the version out again after the store had lost it.
+
         Parameters
         ----------
         source : str
             Origin of the table, for the log.
+        era : int
+            Era of the store that the table is from.
         """
         with self.lock:
             before = self.version
-            if table.version <= before:
+            is_rewritten = self.is_rewritten(table, era=era)
+            if table.version <= before and not is_rewritten:
                 return False
             self.expect(
-                table.version > self.highest_version,
+                table.version > self.highest_version or is_rewritten,
                 "older_configuration",
                 version=table.version,
                 highest=self.highest_version,
                 source=source,
             )
-            self.in_force = TableInForce(table=table)
+            self.in_force = TableInForce(table=table, era=era)
             self.highest_version = max(self.highest_version, table.version)
             self.splits.retain_routes(route.name for route in table.routes)
+        if is_rewritten:
+            self.log.warning(
+                "Configuration version given out again with other content.",
+                version=table.version,
+                era=era,
+                source=source,
+            )
         self.log.info(
             "Configuration in force.",
             version=table.version,
@@ -84,6 +101,16 @@
             listener(table)
         return True
 
+    def is_rewritten(self, table: RoutingTable, *, era: int) -> bool:
+        """Return whether a table is that in force with other content, from a later era."""
+        current = self.in_force
+        return (
+            current is not None
+            and table.version == current.table.version
+            and era > current.era
+            and table.document != current.table.document
+        )
+
     def next_service(self, route: Route) -> str:
         """Return the service for the next request of a route without shards.
 
--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -17,8 +17,8 @@
     ends_outage,
 )
 from rhubarbway.kernel import Kernel
-from rhubarbway.model import StoreItem
-from rhubarbway.platform.store import StoreClient, StoreError, StoreProblem
+from rhubarbway.model import StoreItem, StorePosition
+from rhubarbway.platform.store import StoreClient, StoreError, StorePage, StoreProblem
 from rhubarbway.services.log import component_logger
 from rhubarbway.services.names import FLEET, REGISTRY
 from rhubarbway.services.registry import RegistryService
@@ -50,6 +50,10 @@
 # Problems of a watch that a list solves. A watch returns each version of a value in full, so quick
 # changes of a large one exceed a reply; a list has only the last version, in pages.
 LIST_PROBLEMS = frozenset({StoreProblem.HISTORY_GONE, StoreProblem.TOO_LARGE})
+# Longest delay until a reader lists a store that was restored, seconds. All hosts that read it see
+# that at once; the first reader lists it without a delay, and its copy reaches most of the others
+# before their turn.
+LIST_SPREAD_S = 1.0
 # Interval of that check while the host has no copy and callers may wait, seconds.
 START_CHECK_INTERVAL_S = 0.02
 
@@ -69,12 +73,16 @@
         "executor",
         "fleet",
         "is_first_call",
+        "later_era",
+        "list_at",
         "log",
+        "needs_list",
         "random",
         "registry",
         "stopping",
         "store_answered_at",
         "store_failed_at",
+        "watched_from",
     )
 
     def __init__(self, *, make_client: Callable[[], StoreClient]) -> None:
@@ -87,6 +95,14 @@
         self.store_answered_at = float("-inf")
         # When a call of this host to the store last failed.
         self.store_failed_at = float("-inf")
+        # Whether a watch from the copy's revision has failed, so that the store has to be listed,
+        # and from which instant on.
+        self.needs_list = False
+        self.list_at = float("-inf")
+        # Latest era of the store that its answers have shown.
+        self.later_era = 0
+        # Position that the last watch named.
+        self.watched_from = StorePosition(era=0, revision=0)
         self.random = Random()
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(1, thread_name_prefix="registry")
@@ -110,24 +126,18 @@
     def read_store(self) -> None:
         """Task: while this host is a reader, watch the store from the revision of the copy."""
         retry_delay_s = INITIAL_RETRY_DELAY_S
-        needs_list = False
         while not self.stopping.is_set():
             began_at = time.monotonic()
             was_answering = self.contact is StoreContact.ANSWERING
             self.registry.report_copy_age()
-            if not self.fleet.is_reader(
-                has_copy=self.registry.complete, copy_age_s=self.registry.copy_age_s()
-            ):
-                self.is_first_call = True
-                self.forget_blindness()
-                self.stopping.wait(
-                    ROLE_CHECK_INTERVAL_S if self.registry.complete else START_CHECK_INTERVAL_S
-                )
+            delay_s = self.delay_of_next_call()
+            if delay_s > 0.0:
+                self.stopping.wait(delay_s)
                 continue
+            must_list = self.must_list()
             try:
-                if not self.registry.complete or needs_list:
+                if must_list:
                     self.list_store()
-                    needs_list = False
                 else:
                     self.watch_store()
                 self.record_store_answer()
@@ -135,14 +145,8 @@
                 if was_answering:
                     retry_delay_s = INITIAL_RETRY_DELAY_S
             except StoreError as error:
-                was_watch = self.registry.complete and not needs_list
-                if was_watch and error.problem in LIST_PROBLEMS:
-                    needs_list = True
-                    self.log.info(
-                        "Changes cannot be watched; listing the store.",
-                        after=self.registry.watch_start(),
-                        problem=str(error),
-                    )
+                if not must_list and error.problem in LIST_PROBLEMS:
+                    self.plan_list(error)
                     continue
                 self.record_store_failure(error)
                 delay_s = retry_delay_s * (0.5 + self.random.random())
@@ -155,28 +159,97 @@
                 self.log.exception("Reading the store failed.")
                 self.stopping.wait(MAX_RETRY_DELAY_S)
 
+    def delay_of_next_call(self) -> float:
+        """Return the time to wait before this host checks again whether to call the store, seconds.
+
+        It is 0 if the host reads the store and its next call is due.
+        """
+        if not self.fleet.is_reader(
+            has_copy=self.registry.complete, copy_age_s=self.registry.copy_age_s()
+        ):
+            self.is_first_call = True
+            self.forget_blindness()
+            return ROLE_CHECK_INTERVAL_S if self.registry.complete else START_CHECK_INTERVAL_S
+        if not self.must_list() or not self.registry.complete:
+            return 0.0
+        return min(ROLE_CHECK_INTERVAL_S, max(0.0, self.list_at - time.monotonic()))
+
+    def must_list(self) -> bool:
+        """Return whether only a list brings the copy up to date.
+
+        Another host may have sent a copy of the era for which the list was planned.
+        """
+        start = self.registry.watch_start()
+        if 0 < self.later_era <= start.era:
+            self.later_era = 0
+            self.needs_list = False
+        return self.needs_list or not self.registry.complete or start.revision == 0
+
+    def plan_list(self, error: StoreError) -> None:
+        """Plan to list the store after a watch from the copy's revision has failed.
+
+        If the store was restored, the readers do so at different times.
+        """
+        start = self.registry.watch_start()
+        if start.era > self.watched_from.era:
+            # Another host has sent a copy of a later era meanwhile.
+            return
+        now = time.monotonic()
+        self.needs_list = True
+        if error.era > start.era:
+            self.later_era = error.era
+            if not self.fleet.is_first_reader():
+                self.list_at = max(self.list_at, now + LIST_SPREAD_S * self.random.random())
+        self.log.info(
+            "Changes cannot be watched; listing the store.",
+            after=start.revision,
+            era=start.era,
+            store_era=error.era,
+            delay_ms=round(max(0.0, self.list_at - now) * 1000),
+            problem=str(error),
+        )
+
     def list_store(self) -> None:
-        """Read all items of the store, page by page, and apply them."""
+        """Read all items of the store, page by page, and apply them.
+
+        Raises
+        ------
+        StoreError
+            If a page is missing, or the pages are of different eras.
+        """
         # The pages are no snapshot, so the copy is complete only up to the revision of the first
         # page; a watch from there repeats later changes.
-        first_revision = 0
+        first: StorePage | None = None
         after = ""
         items: list[StoreItem] = []
         more = True
         while more:
             page = self.client.list_items("", after_key=after)
-            first_revision = first_revision or page.revision
+            first = first or page
+            if page.era != first.era:
+                raise StoreError(
+                    StoreProblem.OTHER_ERA,
+                    f"page of era {page.era} after one of era {first.era}",
+                    era=page.era,
+                )
             items += page.items
             after = page.items[-1].key if page.items else ""
             more = page.has_more and bool(page.items)
-        self.log.info("Store listed.", revision=first_revision, items=len(items))
+        self.log.info("Store listed.", revision=first.revision, era=first.era, items=len(items))
         # Recorded before the list is applied: the answer may end an outage, in which case items
         # that the list lacks may have lapsed during it.
         self.record_store_answer()
-        self.registry.apply_store_changes(items, revision=first_revision, whole=True)
+        self.registry.apply_store_changes(items, revision=first.revision, whole=True, era=first.era)
+        self.needs_list = False
 
     def watch_store(self) -> None:
-        """Wait for changes of the store and apply them."""
+        """Wait for changes of the store and apply them.
+
+        Raises
+        ------
+        StoreError
+            If there is no usable answer.
+        """
         answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
         wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
         if self.fleet.is_first_reader():
@@ -184,9 +257,12 @@
         if self.registry.has_deferred_deletions() and answered_recently:
             # Ends the watch when the next deletion is due, since it is applied after a watch.
             wait_s = max(0.1, min(wait_s, self.registry.deferral_end() - time.monotonic()))
-        page = self.client.watch("", after_revision=self.registry.watch_start(), wait_s=wait_s)
+        start = self.watched_from = self.registry.watch_start()
+        page = self.client.watch("", after_revision=start.revision, wait_s=wait_s)
         self.record_store_answer()
-        self.registry.apply_store_changes(page.items, revision=page.revision, whole=False)
+        self.registry.apply_store_changes(
+            page.items, revision=page.revision, whole=False, era=start.era
+        )
         if page.items:
             self.stopping.wait(BATCH_DELAY_S)
 
--- a/src/rhubarbway/services/tests/test_deletion_deferral.py
+++ b/src/rhubarbway/services/tests/test_deletion_deferral.py
@@ -18,7 +18,7 @@
     def follow(self, other):
         """Apply the changes of another host."""
         changes = other.registry.wait_for_changes(
-            after=None, wait_s=0.0, settled_revision=self.registry.settled_revision()
+            after=None, wait_s=0.0, settled_revision=self.registry.settled_position().revision
         )
         self.registry.apply_received(changes, source="other")
 
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -12,7 +12,7 @@
 from rhubarbway.edge import feed_wire
 from rhubarbway.edge.http_client import Reply as HttpReply
 from rhubarbway.kernel import Kernel
-from rhubarbway.model import StoreItem
+from rhubarbway.model import StoreItem, StorePosition
 from rhubarbway.services import fleet as module
 from rhubarbway.services.copy_changes import Changes
 from rhubarbway.services.crashing_requests import CrashingRequestService
@@ -41,10 +41,10 @@
     def is_copy_stale(self):
         return self.stale
 
-    def settled_revision(self):
-        return 1
+    def settled_position(self):
+        return StorePosition(era=0, revision=1)
 
-    def wait_for_changes(self, *, after, wait_s, settled_revision):
+    def wait_for_changes(self, *, after, wait_s, settled_revision, era):
         return Changes(items=[], revision=1, sequence=1, whole=False, complete=True)
 
 
--- a/src/rhubarbway/services/tests/test_registry.py
+++ b/src/rhubarbway/services/tests/test_registry.py
@@ -461,11 +461,11 @@
         clock = Clock()
         filled = FilledRegistry(clock=clock)
         registry = filled.registry
-        start = registry.watch_start()
+        start = registry.watch_start().revision
         registry.apply_changes(
             [], revision=200, whole=False, complete=True, source="h", settled_revision=start
         )
-        assert registry.watch_start() == start < registry.store_copy.revision
+        assert registry.watch_start().revision == start < registry.store_copy.revision
         filled.apply_changes([deletion(1, revision=190)], revision=200)
         assert filled.recorder.removed == [] and registry.store_copy.settled_revision == start
         clock.advance(LAPSE_GRACE_S)
