Do not apply the answer to a watch of another era of the store

Cause: the restored store had given out again the revision that the watches named before they arrived. It answers them with 200 and what is above, and the reader took that for the next part of the history that it knew. What was written below is missed for good.

Change: a watch is valid for the era of its revision. An answer of a later era is applied in no part and the store is listed, as after a 410; one of an earlier era is a late one and counts as a failed call.

--- a/proofs/test_store_restore.py
+++ b/proofs/test_store_restore.py
@@ -130,6 +130,25 @@
         time.sleep(3.0)
         assert restored.store.calls - calls < 40
 
+    def test_a_version_that_revisions_given_out_again_have_passed_is_in_force_in_time(
+        self, restored
+    ):
+        """Guards against a version that no host ever reads, since each watches the restored store
+        from a revision of before that this has given out again, and so gets no status 410.
+        """
+        backup = restored.store.backup()
+        restored.write_again()
+        time.sleep(1.0)
+
+        def write():
+            restored.site.publish(restored.site.configuration())
+            for _ in range(2):
+                restored.write_again()
+
+        restored.restore(backup, write=write)
+        newest = restored.site.version
+        wait_until(lambda: restored.versions() == [newest] * HOSTS, timeout_s=APPLY_S)
+
     def test_a_version_that_the_store_has_lost_stays_in_force(self, restored):
         """Guards against a version in force that is taken back, and against a host which starts
         after the restore and serves the older version of the store.
--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -48,8 +48,11 @@
 # Interval at which a host checks whether it has become a reader, seconds.
 ROLE_CHECK_INTERVAL_S = 0.1
 # Problems of a watch that a list solves. A watch returns each version of a value in full, so quick
-# changes of a large one exceed a reply; a list has only the last version, in pages.
-LIST_PROBLEMS = frozenset({StoreProblem.HISTORY_GONE, StoreProblem.TOO_LARGE})
+# changes of a large one exceed a reply; a list has only the last version, in pages. A revision of
+# another era of the store is not one to watch from.
+LIST_PROBLEMS = frozenset(
+    {StoreProblem.HISTORY_GONE, StoreProblem.TOO_LARGE, StoreProblem.OTHER_ERA}
+)
 # Longest delay until a reader lists a store that was restored, seconds. All hosts that read it see
 # that at once; the first reader lists it without a delay, and its copy reaches most of the others
 # before their turn.
@@ -248,7 +251,8 @@
         Raises
         ------
         StoreError
-            If there is no usable answer.
+            If there is no usable answer. An answer of another era is none: its revisions may have
+            passed the one that the watch named, and the changes below that would be missed.
         """
         answered_recently = time.monotonic() < self.store_answered_at + RECENT_ANSWER_S
         wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
@@ -259,6 +263,7 @@
             wait_s = max(0.1, min(wait_s, self.registry.deferral_end() - time.monotonic()))
         start = self.watched_from = self.registry.watch_start()
         page = self.client.watch("", after_revision=start.revision, wait_s=wait_s)
+        self.check_era(page, start=start)
         self.record_store_answer()
         self.registry.apply_store_changes(
             page.items, revision=page.revision, whole=False, era=start.era
@@ -266,6 +271,19 @@
         if page.items:
             self.stopping.wait(BATCH_DELAY_S)
 
+    def check_era(self, page: StorePage, *, start: StorePosition) -> None:
+        """Check that the answer to a watch belongs to the era of the revision that it named.
+
+        Raises
+        ------
+        StoreError
+            If it belongs to another one. One of an earlier era comes late, and no list helps.
+        """
+        if page.era in (0, start.era):
+            return
+        problem = StoreProblem.OTHER_ERA if page.era > start.era else StoreProblem.BAD_BODY
+        raise StoreError(problem, f"era {page.era} in place of era {start.era}", era=page.era)
+
     def forget_blindness(self) -> None:
         """Let a host that no longer reads the store be chosen as a reader again after some time."""
         if time.monotonic() > self.store_failed_at + BLINDNESS_S:
--- a/src/rhubarbway/services/tests/test_store_restore.py
+++ b/src/rhubarbway/services/tests/test_store_restore.py
@@ -102,6 +102,18 @@
 
 
 class TestRestore:
+    def test_a_reader_lists_the_store_although_its_watch_is_answered(self):
+        """Guards against changes that no host reads because the restored store has given out again
+        the revision that the watch names, and so answers it.
+        """
+        host = ReaderOfStore()
+        host.store.restore()
+        host.store.items.append(entry(9, revision=LAST_REVISION - 30))
+        host.store.revision = LAST_REVISION + 5
+        host.run(2.0)
+        assert "i-9" in host.in_use and host.store.count("list") == 1
+        assert host.registry.watch_start().era == 2
+
     def test_a_reader_lists_the_store_once_after_status_410(self):
         """Guards against a host that lists the restored store and watches it from the revision of
         before, again and again.
@@ -134,6 +146,20 @@
         assert host.in_use == {f"i-{number}" for number in range(8)}
         assert host.registry.eras.restores == 1
 
+    def test_a_late_answer_of_an_earlier_era_changes_nothing(self):
+        """Guards against a copy that goes back because of an answer from before the restore."""
+        host = ReaderOfStore()
+        host.store.restore()
+        host.run(2.0)
+        before = host.registry.watch_start()
+        late = [StorePage(items=[entry(9, revision=990)], revision=999, era=1)]
+        host.store.watch_answer = lambda after, wait_s: (
+            late.pop() if late else host.store.answer_watch(after, wait_s)
+        )
+        host.run(2.0)
+        assert "i-9" not in host.in_use and not late
+        assert host.registry.watch_start() == before
+
     def test_a_store_that_states_no_era_is_followed_as_ever(self):
         """Guards against lists of a platform without the header."""
         host = ReaderOfStore()
