Pace the lists of a store that discards its history at once

A reader whose watch got 410 listed the store and watched it again without a pause. It needs no restore, only a store that discards its history sooner than stated.

The first list still follows at once. A list that leads to no watch is repeated after 0.1 s, doubling to 1 s, each with a random factor from 0.5 to 1.5, until a watch succeeds.

--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -78,6 +78,7 @@
         "is_first_call",
         "later_era",
         "list_at",
+        "list_delay_s",
         "log",
         "needs_list",
         "random",
@@ -102,6 +103,8 @@
         # and from which instant on.
         self.needs_list = False
         self.list_at = float("-inf")
+        # Delay until the next list after one that was of no use.
+        self.list_delay_s = INITIAL_RETRY_DELAY_S
         # Latest era of the store that its answers have shown.
         self.later_era = 0
         # Position that the last watch named.
@@ -191,7 +194,8 @@
     def plan_list(self, error: StoreError) -> None:
         """Plan to list the store after a watch from the copy's revision has failed.
 
-        If the store was restored, the readers do so at different times.
+        If the store was restored, the readers do so at different times. A list that does not lead
+        to a watch is repeated with a growing delay.
         """
         start = self.registry.watch_start()
         if start.era > self.watched_from.era:
@@ -244,6 +248,8 @@
         self.record_store_answer()
         self.registry.apply_store_changes(items, revision=first.revision, whole=True, era=first.era)
         self.needs_list = False
+        self.list_at = time.monotonic() + self.list_delay_s * (0.5 + self.random.random())
+        self.list_delay_s = min(2 * self.list_delay_s, MAX_RETRY_DELAY_S)
 
     def watch_store(self) -> None:
         """Wait for changes of the store and apply them.
@@ -264,6 +270,8 @@
         start = self.watched_from = self.registry.watch_start()
         page = self.client.watch("", after_revision=start.revision, wait_s=wait_s)
         self.check_era(page, start=start)
+        self.list_at = float("-inf")
+        self.list_delay_s = INITIAL_RETRY_DELAY_S
         self.record_store_answer()
         self.registry.apply_store_changes(
             page.items, revision=page.revision, whole=False, era=start.era
--- a/src/rhubarbway/services/tests/test_store_restore.py
+++ b/src/rhubarbway/services/tests/test_store_restore.py
@@ -5,7 +5,7 @@
 from rhubarbway.platform.store import StoreError, StorePage, StoreProblem
 from rhubarbway.services import store_reader as reader_module
 from rhubarbway.services.registry import RegistryService
-from rhubarbway.services.store_reader import LIST_SPREAD_S, StoreReader
+from rhubarbway.services.store_reader import LIST_SPREAD_S, MAX_RETRY_DELAY_S, StoreReader
 from rhubarbway.services.tests.test_registry import entry
 from rhubarbway.services.tests.test_store_silence import Clock
 
@@ -101,6 +101,32 @@
         return None
 
 
+class TestHistoryGone:
+    def test_a_reader_pauses_between_lists_that_lead_to_no_watch(self):
+        """Guards against hundreds of calls a second to a store that discards its history at once:
+        each watch gets status 410, and each list is followed by such a watch.
+        """
+        host = ReaderOfStore()
+        host.store.watch_answer = self.refuse
+        host.run(20.0)
+        # A list and a watch in the time that failed calls are paced to at most.
+        assert len(host.store.calls) < 2 * 20.0 / (MAX_RETRY_DELAY_S / 2)
+        host.store.items.append(entry(9, revision=LAST_REVISION))
+        host.store.revision += 10
+        host.run(1.5 * MAX_RETRY_DELAY_S + 0.1)
+        assert "i-9" in host.in_use
+
+    def test_the_first_list_is_not_delayed(self):
+        """Guards against changes that come late because a single watch gets status 410."""
+        host = ReaderOfStore()
+        host.store.watch_answer = self.refuse
+        host.run(0.02)
+        assert host.store.count("list") == 1
+
+    def refuse(self, after, wait_s):
+        raise StoreError(StoreProblem.HISTORY_GONE, "status 410", era=1)
+
+
 class TestRestore:
     def test_a_reader_lists_the_store_although_its_watch_is_answered(self):
         """Guards against changes that no host reads because the restored store has given out again
