End a state from before a restore when it is due

After a restore, a server whose entry the store lacks stays in use for 2.2 s. The watch now ends when the next state is due, as it does for deferred deletions. The test of the reader in virtual time shows the delay without the change.

--- a/src/rhubarbway/decisions/restored_items.py
+++ b/src/rhubarbway/decisions/restored_items.py
@@ -204,6 +204,12 @@
         self.missing.discard(key)
         self.removed.discard(key)
 
+    def next_due_at(self) -> float:
+        """Return the instant at which the next state ends or item is released; inf without any."""
+        ends = [self.missing_until(key) for key in self.missing]
+        ends += [self.withheld_until(key) for key in self.withheld]
+        return min(ends, default=float("inf"))
+
     def due_missing(self, *, now: float) -> list[str]:
         """Return the keys whose states of earlier eras end."""
         return [key for key in self.missing if now >= self.missing_until(key)]
@@ -213,13 +219,13 @@
         grace_s = MISSING_GRACE_S.get(self.kind_of(key))
         return self.entries_due_at if grace_s is None else self.began_at + grace_s
 
+    def withheld_until(self, key: str) -> float:
+        """Return the instant at which a withheld item is released."""
+        return self.began_at + WITHHOLDING_S[self.kind_of(key)]
+
     def due_withheld(self, *, now: float) -> list[StoreItem]:
         """Remove and return the listed items that are withheld no longer."""
-        due = [
-            item
-            for key, item in self.withheld.items()
-            if now >= self.began_at + WITHHOLDING_S[self.kind_of(key)]
-        ]
+        due = [item for key, item in self.withheld.items() if now >= self.withheld_until(key)]
         for item in due:
             del self.withheld[item.key]
         return due
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -381,15 +381,13 @@
             revision = self.store_copy.settled_revision if self.complete else 0
             return StorePosition(era=self.store_copy.era, revision=revision)
 
-    def has_deferred_deletions(self) -> bool:
-        """Return whether deletions were read that are not applied yet."""
-        with self.condition:
-            return bool(self.deferral.deferred.read_here)
+    def next_due_at(self) -> float:
+        """Return when the next deferred deletion, or end of a state from before a restore, is due.
 
-    def deferral_end(self) -> float:
-        """Return the instant at which the next deferred deletion is due; inf without any."""
+        It takes effect with the next answer of the store. Returns inf if there is none.
+        """
         with self.condition:
-            return self.deferral.deferred.next_due_at()
+            return min(self.deferral.deferred.next_due_at(), self.store_copy.restored.next_due_at())
 
     def defer_deletions(self) -> None:
         """Defer deletions from now on: the store is back, and entries may have lapsed meanwhile."""
--- a/src/rhubarbway/services/store_reader.py
+++ b/src/rhubarbway/services/store_reader.py
@@ -264,9 +264,9 @@
         wait_s = WATCH_WAIT_S if answered_recently else PROBE_WAIT_S
         if self.fleet.is_first_reader():
             wait_s = min(wait_s, CONFIRMATION_FRACTION * self.registry.apply_limit_s)
-        if self.registry.has_deferred_deletions() and answered_recently:
+        if answered_recently:
             # Ends the watch when the next deletion is due, since it is applied after a watch.
-            wait_s = max(0.1, min(wait_s, self.registry.deferral_end() - time.monotonic()))
+            wait_s = max(0.1, min(wait_s, self.registry.next_due_at() - time.monotonic()))
         start = self.watched_from = self.registry.watch_start()
         page = self.client.watch("", after_revision=start.revision, wait_s=wait_s)
         self.check_era(page, start=start)
--- a/src/rhubarbway/services/tests/test_store_restore.py
+++ b/src/rhubarbway/services/tests/test_store_restore.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rhubarbway.decisions.deferred_deletions import LAPSE_GRACE_S
 from rhubarbway.platform.store import StoreError, StorePage, StoreProblem
 from rhubarbway.services import store_reader as reader_module
 from rhubarbway.services.registry import RegistryService
@@ -151,6 +152,16 @@
         host.run(4.0)
         assert "i-9" in host.in_use and host.store.count("list") == 1
 
+    def test_a_server_that_the_copy_lacks_is_out_of_use_when_its_time_is_over(self):
+        """Guards against a server that left and stays in use until the watch of the reader ends."""
+        host = ReaderOfStore()
+        host.store.restore()
+        host.store.items.pop()
+        host.run(0.1)
+        assert "i-7" in host.in_use
+        host.run(LAPSE_GRACE_S + 0.1)
+        assert "i-7" not in host.in_use
+
     def test_pages_of_two_eras_are_not_applied(self):
         """Guards against a copy that mixes what was before a restore with what was after it."""
         host = ReaderOfStore()
