--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -20,6 +20,7 @@
 }
 LOAD_SEEDS = {
     3: "servers are removed after short outages of the store",
+    7: "the store is restored from an older copy while servers are removed",
     4: "an event is written to a connection that has the number of its closed descriptor",
     11: "the same, with hosts that share a core and fan-outs over ten shards",
 }
--- a/src/rhubarbway_standins/platform/store.py
+++ b/src/rhubarbway_standins/platform/store.py
@@ -132,6 +132,25 @@
                 self.events.append(event)
                 self.changed.notify_all()
 
+    def replace(
+        self,
+        key: str,
+        wanted: tuple[bytes, int] | None,
+        *,
+        expected: tuple[bytes, int] | None,
+    ) -> None:
+        """Write the value of an item, or delete it for None, if the key holds what is expected.
+
+        Both are values with revisions; that of ``wanted`` is ignored.
+        """
+        with self.changed:
+            if self.items.get(key) != expected:
+                return
+            if wanted is None:
+                self.delete(key)
+            else:
+                self.put(key, wanted[0])
+
     def forget_history(self) -> None:
         """Drop the history, so that watches from earlier revisions get status 410."""
         with self.changed:
--- a/src/rhubarbway_standins/soak/faults.py
+++ b/src/rhubarbway_standins/soak/faults.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
+from random import Random
 
 from rhubarbway.edge.json_codec import encode_json
 from rhubarbway_standins.fault_proxy import REQUEST, RESPONSE
@@ -20,6 +21,10 @@
 EndFault = Callable[[], None]
 # Delay in each faulty direction of a path.
 PATH_DELAY_MS = 120.0
+# Longest time in which lost entries are written again after a restore of the store, and time after
+# which an entry expires that nobody writes, seconds.
+REWRITE_S = 1.9
+EXPIRY_S = 3.6
 # Bytes of a truncated reply that the proxy forwards.
 TRUNCATE_AFTER_BYTES = 120
 
@@ -268,6 +273,40 @@
     return do_nothing
 
 
+def store_copied(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make a copy of the store, from which a later fault restores it."""
+    testbed.store_backup = testbed.site.store.backup()
+    return do_nothing
+
+
+def store_restored(testbed: SoakTestbed, target_index: int) -> EndFault:
+    """Make the store refuse calls, and restore it from the last copy at the end of the fault.
+
+    The servers and the operator then write again what it has lost, and what it should not have any
+    more is deleted: entries that nobody writes after the time in which they expire.
+    """
+    store = testbed.site.store
+    store.set_mode(StoreMode.REFUSING)
+
+    def end() -> None:
+        wanted = store.backup().items
+        store.restore(testbed.store_backup)
+        restored = store.backup().items
+        store.set_mode(StoreMode.UP)
+        random = Random(store.era)
+        writes = [
+            (REWRITE_S * random.random() if key in wanted else EXPIRY_S, key)
+            for key in {*wanted, *restored}
+            if wanted.get(key) != restored.get(key)
+        ]
+        restored_at = time.monotonic()
+        for delay_s, key in sorted(writes):
+            time.sleep(max(0.0, restored_at + delay_s - time.monotonic()))
+            store.replace(key, wanted.get(key), expected=restored.get(key))
+
+    return end
+
+
 def configuration(testbed: SoakTestbed, target_index: int) -> EndFault:
     """Publish the next configuration."""
     testbed.publish_configuration()
@@ -293,6 +332,8 @@
     "store_refuses": store_mode_fault(StoreMode.REFUSING),
     "store_silent": store_mode_fault(StoreMode.SILENT),
     "store_forgets": store_forgets,
+    "store_copied": store_copied,
+    "store_restored": store_restored,
     "configuration": configuration,
     "store_connections_silent": store_connections_silent,
     "store_readers_cut": store_readers_cut,
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -71,6 +71,7 @@
         "site",
         "start_lock",
         "stop_exit_codes",
+        "store_backup",
         "withdrawals",
     )
 
@@ -90,6 +91,8 @@
             shards=shards,
             warm_up_rate=COLD_RATE if has_cold_servers(seed) else 0.0,
         )
+        # The last copy of the store.
+        self.store_backup = self.site.store.backup()
         self.start_lock = threading.Lock()
         self.server_lock = threading.Lock()
         self.withdrawals: list[Withdrawal] = []
