--- a/src/rhubarbway_standins/soak/tests/test_plan.py
+++ b/src/rhubarbway_standins/soak/tests/test_plan.py
@@ -6,6 +6,7 @@
 from rhubarbway_standins.soak.faults import FAULTS
 from rhubarbway_standins.soak.plan import (
     COLD_FAULTS,
+    COPY_KIND,
     EVACUATION_KIND,
     FAULT_FREE_END_S,
     FAULT_FREE_START_S,
@@ -14,12 +15,16 @@
     LATER_SERVER_FAULTS,
     LATER_STORE_FAULTS,
     LOAD_KINDS,
+    MAX_REWRITE_S,
+    MIN_COPY_AGE_S,
     REMOVAL_KIND,
+    RESTORE_KIND,
     SERVER_FAULTS,
     STORE_FAULTS,
     plan_evacuations,
     plan_faults,
     plan_load,
+    plan_restores,
 )
 
 
@@ -39,7 +44,8 @@
         """Guards against a planned kind of fault that has no function to inject it."""
         planned = HOST_FAULTS | SERVER_FAULTS | STORE_FAULTS
         planned |= LATER_HOST_FAULTS | LATER_SERVER_FAULTS | LATER_STORE_FAULTS | COLD_FAULTS
-        assert FAULTS.keys() == planned.keys() | {*LOAD_KINDS, EVACUATION_KIND, REMOVAL_KIND}
+        others = {EVACUATION_KIND, REMOVAL_KIND, COPY_KIND, RESTORE_KIND}
+        assert FAULTS.keys() == planned.keys() | {*LOAD_KINDS, *others}
 
     def test_faults_overlap_and_come_in_series(self):
         """Guards against plans in which no faults overlap, or only those of different kinds."""
@@ -69,6 +75,20 @@
             assert period.begin_s + self.LIMIT_S < period.end_s <= 12.0 - FAULT_FREE_END_S
 
 
+class TestRestores:
+    @given(seed=st.integers(0, 10_000))
+    def test_each_follows_its_copy_and_leaves_time_to_write_again(self, seed):
+        """Guards against a store that is restored from no copy, and against runs that end before
+        servers and operator have written again what it lost.
+        """
+        planned = plan_restores(seed=seed, duration_s=20.0)
+        assert bool(planned) == (seed % 8 == 7)
+        assert [fault.kind for fault in planned] == [COPY_KIND, RESTORE_KIND] * (len(planned) // 2)
+        for copy, restore in zip(planned[::2], planned[1::2], strict=True):
+            assert copy.begin_s + MIN_COPY_AGE_S <= restore.begin_s < restore.end_s
+            assert restore.end_s <= 20.0 - FAULT_FREE_END_S - MAX_REWRITE_S
+
+
 class TestLoad:
     @given(seed=st.integers(0, 10_000))
     def test_bursts_come_several_times_and_do_not_overlap(self, seed):
