--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -217,20 +217,23 @@
 
     def is_news(self, item: StoreItem, known: StoreItem | None) -> bool:
         """Return whether a change is newer than what is known of its key."""
-        if item.value is None and item.key not in self.items:
-            return False
-        # The store had no such key at the revision of the copy, so older changes are obsolete.
-        is_obsolete = bool(self.revision) and item.position <= self.position
-        if known is None:
-            # A configuration is never deleted, so another host knows it from an earlier era.
-            is_kept = self.restored.kind_of(item.key) is KeyKind.CONFIGURATION
-            return is_kept or not is_obsolete
-        if known.value is None and is_obsolete and not self.is_release(item, known):
-            return False
+        if known is None or known.value is None:
+            return item.value is not None and self.is_new_item(item, known)
         if self.are_both_held(item, known) and item.value != known.value:
             return self.later_of_held(item, known) is item
         return item.supersedes(known)
 
+    def is_new_item(self, item: StoreItem, deletion: StoreItem | None) -> bool:
+        """Return whether an item is newer than the deletion of its key, if one is known."""
+        if deletion is not None and self.is_release(item, deletion):
+            return True
+        # The store had no such key at the revision of the copy, so older changes are obsolete.
+        is_obsolete = bool(self.revision) and item.position <= self.position
+        if deletion is not None:
+            return not is_obsolete and item.supersedes(deletion)
+        # A configuration is never deleted, so another host knows it from an earlier era.
+        return not is_obsolete or self.restored.kind_of(item.key) is KeyKind.CONFIGURATION
+
     def is_release(self, item: StoreItem, known: StoreItem) -> bool:
         """Return whether a change puts a withheld item into force."""
         return (
@@ -242,8 +245,8 @@
     def are_both_held(self, item: StoreItem, known: StoreItem) -> bool:
         """Return whether hosts hold different states of a key in place of one listed item."""
         return (
-            item.position == known.position
-            and item.evidence is known.evidence is ItemEvidence.HELD
+            item.evidence is known.evidence is ItemEvidence.HELD
+            and item.position == known.position
             and None not in (item.value, known.value)
         )
 
@@ -257,14 +260,11 @@
 
         An item that a listing of a later era has may be an older state of its key.
         """
-        if item.position == known.position and item.evidence is ItemEvidence.HELD:
+        if item.evidence is ItemEvidence.HELD and item.position == known.position:
             if item.value is None and known.evidence is ItemEvidence.LISTED:
                 self.restored.withheld[item.key] = known
             return item
-        is_configuration = self.restored.kind_of(item.key) is KeyKind.CONFIGURATION
-        is_carried = known.era < item.era or known.evidence is ItemEvidence.HELD
-        is_doubtful = item.evidence is ItemEvidence.LISTED and known.era < item.era
-        if item.value is None or not (is_doubtful or (is_configuration and is_carried)):
+        if item.value is None or not self.is_in_doubt(item, known):
             if item.evidence is not ItemEvidence.HELD:
                 self.restored.withheld.pop(item.key, None)
             return item
@@ -282,6 +282,14 @@
         deletion = self.tombstones.get(key)
         return deletion is not None and deletion.evidence is ItemEvidence.HELD
 
+    def is_in_doubt(self, item: StoreItem, known: StoreItem) -> bool:
+        """Return whether a change may be an older state of its key than the known one."""
+        if item.value == known.value and item.key not in self.restored.removed:
+            return False
+        if self.restored.kind_of(item.key) is KeyKind.CONFIGURATION:
+            return known.era < item.era or known.evidence is ItemEvidence.HELD
+        return known.era < item.era and item.evidence is ItemEvidence.LISTED
+
     def end_restored(self, *, now: float) -> list[StoreItem]:
         """End the states of earlier eras that are due, and return what changed.
 
--- a/src/rhubarbway/model/store_item.py
+++ b/src/rhubarbway/model/store_item.py
@@ -35,6 +35,9 @@
     def __lt__(self, other: StorePosition) -> bool:
         return (self.era, self.revision) < (other.era, other.revision)
 
+    def __le__(self, other: StorePosition) -> bool:
+        return (self.era, self.revision) <= (other.era, other.revision)
+
     def __hash__(self) -> int:
         return hash((self.era, self.revision))
 
@@ -159,8 +162,9 @@
         At one position a state held in place of the listed one counts more than that one, and a
         deletion more than a value: a whole copy of that revision lacks the key.
         """
-        if self.position != other.position:
-            return self.position > other.position
+        # Compared without objects for the positions: a whole copy has tens of thousands of items.
+        if self.era != other.era or self.revision != other.revision:
+            return (self.era, self.revision) > (other.era, other.revision)
         is_held = ItemEvidence.HELD in (self.evidence, other.evidence)
         if is_held and self.evidence is not other.evidence:
             return self.evidence > other.evidence
--- a/src/rhubarbway/services/copy_eras.py
+++ b/src/rhubarbway/services/copy_eras.py
@@ -96,6 +96,7 @@
         is_restore = bool(before.revision)
         if is_restore:
             self.restores += 1
+            self.deferral.begin_after_outage()
             self.log.warning(
                 "Store was restored from an older copy.",
                 era=era,
--- a/src/rhubarbway/services/deletion_deferral.py
+++ b/src/rhubarbway/services/deletion_deferral.py
@@ -73,7 +73,6 @@
         """Begin a later era of the store; return the keys whose deletions were deferred."""
         keys = {key for key, _ in self.deferred.known_deletions()}
         self.report(self.deferred.end_all(), now=self.clock())
-        self.begin_after_outage()
         return keys
 
     def changes_to_apply(
--- a/src/rhubarbway/services/tests/test_store_restore.py
+++ b/src/rhubarbway/services/tests/test_store_restore.py
@@ -197,6 +197,12 @@
         assert "i-9" not in host.in_use and not late
         assert host.registry.watch_start() == before
 
+    def test_the_first_era_that_a_host_learns_of_is_no_restore(self):
+        """Guards against deletions that a host defers just because it has started."""
+        host = ReaderOfStore()
+        assert host.registry.eras.restores == 0 and host.registry.watch_start().era == 1
+        assert host.registry.deferral.deferred.until == float("-inf")
+
     def test_a_store_that_states_no_era_is_followed_as_ever(self):
         """Guards against lists of a platform without the header."""
         host = ReaderOfStore()
