--- a/proofs/store_copy_model.py
+++ b/proofs/store_copy_model.py
@@ -94,7 +94,9 @@
     """Return the ``StoreCopy`` of the program that has the state of a copy of the model."""
     store_copy = StoreCopy()
     store_copy.items = {key: StoreItem(key=key, value=v, revision=r) for key, v, r in copy.items}
-    store_copy.tombstones.update(copy.tombstones)
+    store_copy.tombstones.update(
+        (key, StoreItem(key=key, value=None, revision=r)) for key, r in copy.tombstones
+    )
     store_copy.change_log.extend(copy.change_log)
     for name in COUNTERS:
         setattr(store_copy, name, getattr(copy, name))
@@ -109,7 +111,9 @@
         complete=before.complete or complete,
         **{name: getattr(store_copy, name) for name in COUNTERS},
         items=item_tuples(sorted(store_copy.items.values(), key=lambda item: item.key)),
-        tombstones=tuple(sorted(store_copy.tombstones.items())),
+        tombstones=tuple(
+            sorted((key, deletion.revision) for key, deletion in store_copy.tombstones.items())
+        ),
         change_log=tuple(store_copy.change_log),
     )
 
--- a/src/rhubarbway/decisions/__init__.py
+++ b/src/rhubarbway/decisions/__init__.py
@@ -11,7 +11,7 @@
 - Gateways read the platform's store and forward HTTP requests to servers; each shard of a route is
   a service of its own: ``answer_margin``, ``attempt_timing``, ``crash_blocks``, ``crash_guard``,
   ``deferred_deletions``, ``evacuation``, ``fleet_view``, ``forward_answers``, ``preconnect``,
-  ``records``, ``replica_ranking``, ``route_choice``, ``sent_attempts``, ``server_state``,
-  ``shard_shedding``,
-  ``sliding_window_budget``, ``slowness_reports``, ``store_copy``.
+  ``records``, ``replica_ranking``, ``restored_items``, ``route_choice``, ``sent_attempts``,
+  ``server_state``, ``shard_shedding``, ``sliding_window_budget``, ``slowness_reports``,
+  ``store_copy``.
 """
--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -206,7 +206,7 @@
         else:
             self.items[item.key] = item
             self.tombstones.pop(item.key, None)
-        if item.era == self.era:
+        if item.era == self.era or item.value is None:
             self.restored.discard(item.key)
         else:
             self.restored.missing.add(item.key)
--- a/src/rhubarbway/decisions/tests/test_restored_items.py
+++ b/src/rhubarbway/decisions/tests/test_restored_items.py
@@ -270,6 +270,19 @@
         informed.end(100.0 + OPERATOR_GRACE_S)
         assert informed.values() == {}
 
+    def test_a_deletion_of_an_earlier_era_leaves_nothing_to_end(self):
+        """Guards against a reader that calls the store all the time, since a state that another
+        host has deleted in an earlier era seems to be due for good.
+        """
+        host, other = RestoredCopy((SERVER, READY, 880)), RestoredCopy((SERVER, READY, 880))
+        other.restore()
+        other.apply((SERVER, None, 860), revision=860)
+        other.restore(now=101.0)
+        host.restore()
+        host.restore(now=101.0)
+        host.follow(other)
+        assert not host.values() and host.copy.restored.next_due_at() == float("inf")
+
     def test_the_end_of_a_state_reaches_those_that_follow(self):
         """Guards against a withheld server that some hosts use again and others do not."""
         host, follower = RestoredCopy((SERVER, READY, 880)), RestoredCopy()
--- a/src/rhubarbway/services/__init__.py
+++ b/src/rhubarbway/services/__init__.py
@@ -12,7 +12,7 @@
   ``inbox``, ``manifest``, ``manifest_exchange``, ``pause_gate``, ``peer_connections``,
   ``peer_link``, ``peers``, ``platform``, ``queries``, ``replica_pool``, ``shard_pools``,
   ``slices``, ``tokens``.
-- Gateways: ``caller_inbox``, ``crashing_requests``, ``fleet``, ``forwarding``,
+- Gateways: ``caller_inbox``, ``copy_eras``, ``crashing_requests``, ``fleet``, ``forwarding``,
   ``forwarding_context``, ``gateway``, ``gateway_status``, ``invariants``, ``metrics_endpoint``,
   ``registry``, ``request_forwarder``, ``route_latencies``, ``routing``, ``send_checks``,
   ``server_pool``, ``servers``, ``settings_reload``, ``shard_progress``, ``shared_retry_budget``,
