Bound the time of kept states on hosts that have just started

The first confirmation of a copy counted as the end of an outage without begin, so that later outages could prolong without bound what a host that started in a restore had been told to keep; a test of the reader shows the bound.

--- a/src/rhubarbway/services/copy_eras.py
+++ b/src/rhubarbway/services/copy_eras.py
@@ -34,15 +34,13 @@
     ----------
     restores : int
         Number of restores of the store over which this copy has carried what it knew.
-    ignored : int
-        Number of messages and answers of other eras that were ignored.
     listeners : list of callable
         Called with ``era``, ``missing`` and ``withheld``, the numbers of states of earlier eras and
         of withheld listed items, when one of them may have changed, and ``restored``, whether an
         era has begun after a restore.
     """
 
-    __slots__ = ("clock", "deferral", "ignored", "listeners", "log", "restores", "store_copy")
+    __slots__ = ("clock", "deferral", "listeners", "log", "restores", "store_copy")
 
     def __init__(
         self,
@@ -55,7 +53,6 @@
         self.deferral = deferral
         self.clock = clock
         self.restores = 0
-        self.ignored = 0
         self.listeners: list[Callable[..., None]] = []
         self.log = component_logger("registry")
 
@@ -81,7 +78,6 @@
         own = self.store_copy.era
         if era == own or (era > own and (whole or not has_copy)):
             return True
-        self.ignored += 1
         self.log.info(
             "Changes of another era of the store ignored.", era=era, copy_era=own, whole=whole
         )
@@ -122,8 +118,11 @@
         self.notify()
 
     def record_confirmation_gap(self, *, ended_at: float, seconds: float) -> None:
-        """Record the time between two confirmations of the copy; a long one was an outage."""
-        if seconds > MIN_LAPSE_OUTAGE_S:
+        """Record the time between two confirmations of the copy; a long one was an outage.
+
+        It is infinite before the first one, which ends no outage that this host knows of.
+        """
+        if MIN_LAPSE_OUTAGE_S < seconds < float("inf"):
             self.store_copy.restored.record_outage(ended_at=ended_at, seconds=seconds)
 
     def end_due(self, *, confirmed_at: float) -> list[StoreItem]:
--- a/src/rhubarbway/services/tests/test_store_restore.py
+++ b/src/rhubarbway/services/tests/test_store_restore.py
@@ -202,6 +202,7 @@
         host = ReaderOfStore()
         assert host.registry.eras.restores == 0 and host.registry.watch_start().era == 1
         assert host.registry.deferral.deferred.until == float("-inf")
+        assert host.registry.store_copy.restored.entries_latest_at < float("inf")
 
     def test_a_store_that_states_no_era_is_followed_as_ever(self):
         """Guards against lists of a platform without the header."""
