--- a/src/rhubarbway_standins/platform/entries.py
+++ b/src/rhubarbway_standins/platform/entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from rhubarbway.edge.json_codec import encode_json
 
 EVACUATION_PREFIX = "op/evacuate/"
@@ -23,7 +25,7 @@
     draining: bool = False,
     slots: int = 3,
     warm_up_ms: int = 0,
-    **changes: object,
+    changes: Mapping[str, object] | None = None,
 ) -> bytes:
     """Return the encoded entry of a server; ``changes`` replaces fields by their platform names."""
     fields = {
@@ -37,4 +39,4 @@
         "sequence": sequence,
         "born": born_ms,
     }
-    return encode_json(fields | changes)
+    return encode_json(fields | dict(changes or {}))
--- a/src/rhubarbway_standins/platform/replica.py
+++ b/src/rhubarbway_standins/platform/replica.py
@@ -160,14 +160,14 @@
         self.sequence += 1
         return server_entry(
             service=self.service,
-            address=str(changes.pop("address", self.address)),
+            address=self.address,
             zone=self.zone,
             born_ms=self.born_ms,
             sequence=self.sequence,
             draining=self.draining,
             slots=self.slot_count,
             warm_up_ms=self.warm_up_ms,
-            **changes,
+            changes=changes,
         )
 
     def stop(self) -> None:
