Let a host have one replica to prefer in the tests of removed servers

The tests of servers in proofs/test_store_restore.py waited for a request at a replica that they had added beside another idle one of its zone.

The tests now remove the other replica of the zone first; the checks are the same.

Settings of gateway processes that differ, their status, and the steps of the two models in virtual time are written once now; the long functions of the registry are divided, without another behaviour; two unused attributes are gone.

--- a/proofs/deletion_delay_model.py
+++ b/proofs/deletion_delay_model.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterator
 from random import Random
+from typing import TYPE_CHECKING
 
 from rhubarbway.decisions.store_contact import NEXT_CONTACT, CallEnd, StoreContact, ends_outage
 from rhubarbway.model import StoreItem
@@ -22,6 +23,9 @@
 )
 from rhubarbway_standins.platform.entries import server_entry
 
+if TYPE_CHECKING:
+    from proofs.store_restore_model import RestoreModel
+
 STEP_S = 0.1
 # Limits of the users' small sites, seconds: a server that was removed gets no request after the
 # first, and the store counts as stable when it has worked for the second.
@@ -36,6 +40,23 @@
 ENTRY = server_entry(service="desk", address="10.0.0.1:80", zone="z", born_ms=7, sequence=1)
 
 
+def run_model(model: DelayModel | RestoreModel) -> None:
+    """Play the plan of a model.
+
+    Raises
+    ------
+    PromiseBroken
+        If a host breaks a promise.
+    """
+    while model.now < model.plan.until:
+        model.now = round(model.now + STEP_S, 6)
+        model.change_store()
+        model.change_hosts()
+        for step in model.steps_in_any_order():
+            step()
+        model.check()
+
+
 class PromiseBroken(Exception):
     """A promise is broken; the message names the host, the server and the time."""
 
@@ -183,22 +204,6 @@
         )
         host.reads_at = self.now + (BATCH_DELAY_S if changes else 0.0)
 
-    def run(self) -> None:
-        """Play the plan.
-
-        Raises
-        ------
-        PromiseBroken
-            If a host breaks a promise.
-        """
-        while self.now < self.plan.until:
-            self.now = round(self.now + STEP_S, 6)
-            self.change_store()
-            self.change_hosts()
-            for step in self.steps_in_any_order():
-                step()
-            self.check()
-
     def steps_in_any_order(self) -> list:
         """Return what the hosts do in this instant; each may be before or after the others."""
         steps = []
--- a/proofs/store_restore_model.py
+++ b/proofs/store_restore_model.py
@@ -221,7 +221,6 @@
         self.due: dict[str, float] = {}
         self.sequences = dict.fromkeys(range(SERVERS), 0)
         self.left_at: dict[int, float] = {}
-        self.gone: set[int] = set()
         self.messages: list[tuple[float, RestoredHost, object]] = []
         for number in set(range(SERVERS)) - plan.starts.keys():
             self.want(server_key(f"i-{number}"), self.entry(number))
@@ -257,22 +256,6 @@
         else:
             self.due[key] = float("inf")
 
-    def run(self) -> None:
-        """Play the plan.
-
-        Raises
-        ------
-        PromiseBroken
-            If a host breaks a promise.
-        """
-        while self.now < self.plan.until:
-            self.now = round(self.now + STEP_S, 6)
-            self.change_store()
-            self.change_hosts()
-            for step in self.steps_in_any_order():
-                step()
-            self.check()
-
     def happens(self, at: float) -> bool:
         """Return whether an instant is in this step."""
         return 0.0 <= round(self.now - at, 6) < STEP_S
@@ -326,7 +309,6 @@
                 self.left_at[number] = self.now
                 self.want(key, None if number % 2 else self.entry(number, draining=True))
             if self.happens(at + DRAIN_S + 1.0):
-                self.gone.add(number)
                 self.want(key, None)
         for at in self.plan.versions:
             if self.happens(at):
--- a/proofs/test_deletion_delay_model.py
+++ b/proofs/test_deletion_delay_model.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from proofs.deletion_delay_model import NOTICED_OUTAGE_S, DelayModel, Plan, PromiseBroken
+from proofs.deletion_delay_model import (
+    NOTICED_OUTAGE_S,
+    DelayModel,
+    Plan,
+    PromiseBroken,
+    run_model,
+)
 
 SEEDS = range(12)
 
@@ -17,7 +23,7 @@
     broken = []
     for seed in seeds:
         try:
-            DelayModel(plan=plan, seed=seed).run()
+            run_model(DelayModel(plan=plan, seed=seed))
         except PromiseBroken as problem:
             broken.append((seed, str(problem)))
     return broken
--- a/proofs/test_evacuation.py
+++ b/proofs/test_evacuation.py
@@ -1,6 +1,5 @@
 """Evacuation of an availability zone, with gateways as processes and one failure at a time."""
 
-import json
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -10,7 +9,6 @@
 
 from proofs.gateway_fleet import GatewayFleet, wait_until
 from rhubarbway.cli.app import app
-from rhubarbway.edge.http_client import HttpConnection
 from rhubarbway.services.names import SERVERS
 from rhubarbway_standins.platform.consumer import send_once
 from rhubarbway_standins.platform.gateways import GatewayProcesses
@@ -35,11 +33,13 @@
 
     def __init__(self, *, directory):
         self.site = Site(ports=free_ports())
-        self.gateways = GatewayProcesses(site=self.site, directory=directory, count=HOSTS)
-        for number, settings in enumerate(self.gateways.settings):
-            settings.metrics_port = next(self.site.ports)
-            settings.evacuate_ms = EVACUATE_S * 1000
-            self.gateways.processes[number] = self.gateways.make_process(settings)
+        self.gateways = GatewayProcesses(
+            site=self.site,
+            directory=directory,
+            count=HOSTS,
+            has_status=True,
+            changes={"evacuate_ms": EVACUATE_S * 1000},
+        )
         self.stopping = threading.Event()
         self.replies = []
         self.executor = ThreadPoolExecutor(HOSTS)
@@ -54,16 +54,6 @@
         self.gateways.__exit__()
         self.site.__exit__()
 
-    def status(self, number):
-        connection = HttpConnection(address=self.status_address(number))
-        try:
-            return json.loads(connection.call("GET", "/v1/status", None, timeout_s=2.0).body)
-        finally:
-            connection.close()
-
-    def status_address(self, number):
-        return f"127.0.0.1:{self.gateways.settings[number].metrics_port}"
-
     def start_load(self, numbers):
         """Send searches and single requests to these hosts until the end."""
 
@@ -89,7 +79,9 @@
 
     def wait_for_zones(self, numbers, zones):
         wait_until(
-            lambda: all(set(self.status(n)["evacuated_zones"]) == set(zones) for n in numbers),
+            lambda: all(
+                set(self.gateways.status(n)["evacuated_zones"]) == set(zones) for n in numbers
+            ),
             timeout_s=EVACUATE_S,
         )
 
@@ -102,8 +94,10 @@
         zone = ZONES[0]
         with EvacuatedSite(directory=tmp_path) as evacuated:
             everyone = range(HOSTS)
-            wait_until(lambda: sum(evacuated.status(n)["reads_store"] for n in everyone) == 3)
-            killed = next(n for n in everyone if evacuated.status(n)["reads_store"])
+            wait_until(
+                lambda: sum(evacuated.gateways.status(n)["reads_store"] for n in everyone) == 3
+            )
+            killed = next(n for n in everyone if evacuated.gateways.status(n)["reads_store"])
             others = [number for number in everyone if number != killed]
             evacuated.start_load(others)
             time.sleep(0.5)
@@ -113,7 +107,9 @@
             written_at = time.monotonic()
             evacuated.wait_for_zones(others, {zone})
             time.sleep(max(0.0, written_at + EVACUATE_S - time.monotonic()) + 0.5)
-            result = CliRunner().invoke(app, ["status", evacuated.status_address(others[0])])
+            result = CliRunner().invoke(
+                app, ["status", evacuated.gateways.status_address(others[0])]
+            )
             assert result.exit_code == 0 and f'evacuated_zones: {{"{zone}":' in result.stdout
             taken_back_at = time.monotonic()
             evacuated.site.store.delete(key)
--- a/proofs/test_store_restore.py
+++ b/proofs/test_store_restore.py
@@ -1,6 +1,5 @@
 """Restores of the store from an older copy, with gateways as processes."""
 
-import json
 import signal
 import threading
 import time
@@ -10,7 +9,6 @@
 
 from proofs.gateway_fleet import wait_until
 from rhubarbway.decisions.restored_items import ENTRY_EXPIRY_S, OPERATOR_GRACE_S
-from rhubarbway.edge.http_client import HttpConnection
 from rhubarbway_standins.platform.consumer import send_once
 from rhubarbway_standins.platform.gateways import GatewayProcesses
 from rhubarbway_standins.platform.site import (
@@ -38,10 +36,9 @@
     def __init__(self, *, directory):
         self.site = Site(ports=free_ports())
         self.store = self.site.store
-        self.gateways = GatewayProcesses(site=self.site, directory=directory, count=HOSTS)
-        for number, settings in enumerate(self.gateways.settings):
-            settings.metrics_port = next(self.site.ports)
-            self.gateways.processes[number] = self.gateways.make_process(settings)
+        self.gateways = GatewayProcesses(
+            site=self.site, directory=directory, count=HOSTS, has_status=True
+        )
         self.stopping = threading.Event()
         self.executor = ThreadPoolExecutor(HOSTS)
         self.statuses = []
@@ -66,19 +63,20 @@
         self.store.set_mode(StoreMode.UP)
         return time.monotonic()
 
-    def status(self, number):
-        address = f"127.0.0.1:{self.gateways.settings[number].metrics_port}"
-        connection = HttpConnection(address=address)
-        try:
-            return json.loads(connection.call("GET", "/v1/status", None, timeout_s=2.0).body)
-        finally:
-            connection.close()
-
     def versions(self):
-        return [self.status(number)["configuration_version"] for number in range(HOSTS)]
+        return [self.gateways.status(number)["configuration_version"] for number in range(HOSTS)]
 
     def evacuated(self):
-        return [set(self.status(number)["evacuated_zones"]) for number in range(HOSTS)]
+        return [set(self.gateways.status(number)["evacuated_zones"]) for number in range(HOSTS)]
+
+    def remove_replicas(self, service, zone):
+        """Remove the replicas of a service in a zone, so that one added there gets requests.
+
+        Under light load a host keeps to one of several idle replicas of its zone.
+        """
+        for replica in self.site.replicas_of(service):
+            if replica.zone == zone:
+                self.store.delete(f"servers/{replica.server_id}")
 
     def write_again(self, replicas=None):
         """Let replicas write their entries, as they do after a restore."""
@@ -163,7 +161,7 @@
         restored.gateways.processes[HOSTS - 1].kill()
         restored.gateways.processes[HOSTS - 1].start()
         restored.gateways.wait_ready(HOSTS - 1)
-        wait_until(lambda: restored.status(HOSTS - 1)["configuration_version"] == newest)
+        wait_until(lambda: restored.gateways.status(HOSTS - 1)["configuration_version"] == newest)
         deadline = time.monotonic() + 4.0
         while time.monotonic() < deadline:
             assert restored.versions() == [newest] * HOSTS
@@ -182,7 +180,7 @@
         time.sleep(2.0)
         process.send_signal(signal.SIGCONT)
         wait_until(lambda: restored.versions() == [newest] * HOSTS, timeout_s=APPLY_S)
-        eras = {restored.status(number)["store_era"] for number in range(HOSTS)}
+        eras = {restored.gateways.status(number)["store_era"] for number in range(HOSTS)}
         assert eras == {restored.store.era}
 
 
@@ -191,6 +189,7 @@
         """Guards against requests to a server that had left before the restore, because the store
         lists its old entry as ready, also from a host that starts after it.
         """
+        restored.remove_replicas(BOARD_SERVICE, ZONES[0])
         extra = restored.site.add_replica(BOARD_SERVICE, ZONES[0])
         restored.start_load()
         wait_until(lambda: restored.arrivals(extra, since=0.0) != [])
@@ -210,6 +209,7 @@
 
     def test_a_draining_server_that_the_copy_lists_as_ready_gets_no_request(self, restored):
         """Guards against requests to a server that reported before the restore that it drains."""
+        restored.remove_replicas(BOARD_SERVICE, ZONES[0])
         extra = restored.site.add_replica(BOARD_SERVICE, ZONES[0])
         restored.start_load()
         wait_until(lambda: restored.arrivals(extra, since=0.0) != [])
@@ -226,6 +226,7 @@
         """Guards against living servers that are dropped because the restored store lacks their
         entries until they have written them again.
         """
+        restored.remove_replicas(BOARD_SERVICE, ZONES[0])
         backup = restored.store.backup()
         extra = restored.site.add_replica(BOARD_SERVICE, ZONES[0])
         restored.start_load()
--- a/proofs/test_store_restore_model.py
+++ b/proofs/test_store_restore_model.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from proofs.deletion_delay_model import run_model
 from proofs.store_restore_model import Plan, PromiseBroken, RestoreModel
 from rhubarbway.decisions.restored_items import Resolution, RestoredItems
 from rhubarbway.services.copy_eras import CopyEras
@@ -20,7 +21,7 @@
     broken = []
     for seed in seeds:
         try:
-            RestoreModel(plan=plan, seed=seed).run()
+            run_model(RestoreModel(plan=plan, seed=seed))
         except PromiseBroken as problem:
             broken.append((seed, str(problem)))
     return broken
@@ -78,7 +79,7 @@
         """
         for seed in SEEDS:
             model = RestoreModel(plan=Plan(drills=[(10.0, 4.0, 5.0)], hosts=hosts), seed=seed)
-            model.run()
+            run_model(model)
             busiest = max(
                 sum(at <= other < at + 1.0 for other in model.lists) for at in model.lists
             )
--- a/src/rhubarbway/decisions/store_copy.py
+++ b/src/rhubarbway/decisions/store_copy.py
@@ -123,11 +123,6 @@
         """Position in the store that the copy has reached."""
         return StorePosition(era=self.era, revision=self.revision)
 
-    @property
-    def settled_position(self) -> StorePosition:
-        """Position in the store up to which the copy lacks no change."""
-        return StorePosition(era=self.era, revision=self.settled_revision)
-
     def begin_era(self, era: int, *, removed: Iterable[str], now: float) -> None:
         """Begin a later era of the store; the caller applies a whole copy of it next.
 
--- a/src/rhubarbway/services/registry.py
+++ b/src/rhubarbway/services/registry.py
@@ -186,21 +186,30 @@
                     deletions_known_after=deletions_known_after,
                     whole=whole,
                 )
-            becomes_complete = complete and not self.complete
-            if becomes_complete:
-                self.complete = True
-                self.store_copy.mark_complete()
-                self.log.info("Copy of the store is complete.", source=source)
+                self.mark_complete(source)
             if changed_items:
                 self.put_into_force(changed_items, source)
             if complete and confirmation is not None:
                 self.record_confirmation(confirmation)
                 self.end_restored_states(source)
-            relay_step_s = RELAY_FRACTION * self.apply_limit_s
-            is_news = self.confirmation.at >= self.confirmation_relayed + relay_step_s
-            if self.store_copy.sequence > sequence_before or is_news:
-                self.confirmation_relayed = self.confirmation.at
-                self.condition.notify_all()
+            self.notify_followers(has_changed=self.store_copy.sequence > sequence_before)
+
+    def mark_complete(self, source: str) -> None:
+        """Note that a whole copy has been applied; the caller holds the lock."""
+        if self.complete:
+            return
+        self.complete = True
+        self.store_copy.mark_complete()
+        self.log.info("Copy of the store is complete.", source=source)
+
+    def notify_followers(self, *, has_changed: bool) -> None:
+        """Answer waiting followers if the copy has changed, or if they are to learn that it is
+        current; the caller holds the lock.
+        """
+        relay_step_s = RELAY_FRACTION * self.apply_limit_s
+        if has_changed or self.confirmation.at >= self.confirmation_relayed + relay_step_s:
+            self.confirmation_relayed = self.confirmation.at
+            self.condition.notify_all()
 
     def apply_received(self, changes: Changes, *, source: str) -> None:
         """Apply the changes of the copy of another host, whose address is ``source``."""
@@ -350,30 +359,30 @@
                 self.condition.wait(wait_s)
             if era != self.store_copy.era:
                 settled_revision = 0
-            items = self.store_copy.changes_since(after) if after is not None else None
-            is_continued = items is not None
-            if items is None and self.complete and settled_revision:
-                items = self.store_copy.changes_after_revision(settled_revision)
-            elif items is not None:
-                # The follower may have got these changes from the other host that it follows.
-                items = [
-                    item
-                    for item in items
-                    if self.store_copy.is_change_after(item, settled_revision)
-                ]
-            whole = items is None
-            return Changes(
-                items=self.store_copy.whole_copy() if items is None else items,
-                revision=self.store_copy.revision,
-                sequence=self.store_copy.sequence,
-                whole=whole and self.complete,
-                complete=self.complete,
-                confirmation=self.confirmation,
-                settled_revision=self.store_copy.settled_revision,
-                deletions_known_after=self.store_copy.deletions_known_after,
-                deferred=self.deferral.news_for_follower(after=after if is_continued else None),
-                era=self.store_copy.era,
-            )
+            return self.changes_for_follower(after=after, settled_revision=settled_revision)
+
+    def changes_for_follower(self, *, after: int | None, settled_revision: int) -> Changes:
+        """Return what ``wait_for_changes`` returns, without waiting; the caller holds the lock."""
+        copy = self.store_copy
+        items = copy.changes_since(after) if after is not None else None
+        is_continued = items is not None
+        if items is None and self.complete and settled_revision:
+            items = copy.changes_after_revision(settled_revision)
+        elif items is not None:
+            # The follower may have got these changes from the other host that it follows.
+            items = [item for item in items if copy.is_change_after(item, settled_revision)]
+        return Changes(
+            items=copy.whole_copy() if items is None else items,
+            revision=copy.revision,
+            sequence=copy.sequence,
+            whole=items is None and self.complete,
+            complete=self.complete,
+            confirmation=self.confirmation,
+            settled_revision=copy.settled_revision,
+            deletions_known_after=copy.deletions_known_after,
+            deferred=self.deferral.news_for_follower(after=after if is_continued else None),
+            era=copy.era,
+        )
 
     def settled_position(self) -> StorePosition:
         """Return up to where the copy lacks no change; revision 0 without a whole copy."""
--- a/src/rhubarbway_standins/platform/gateways.py
+++ b/src/rhubarbway_standins/platform/gateways.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import json
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
+from rhubarbway.edge.http_client import HttpConnection
 from rhubarbway.edge.json_codec import encode_json
 from rhubarbway.gateway import SETTINGS_VARIABLE
 from rhubarbway.settings import GatewaySettings
@@ -13,6 +15,8 @@
 from rhubarbway_standins.processes import ManagedProcess, wait_until_ok
 
 GATEWAY_MODULE = "rhubarbway.start_gateway"
+# Longest time for the reply of a gateway to a request for its status, seconds.
+STATUS_TIMEOUT_S = 2.0
 
 
 class GatewayProcesses:
@@ -32,6 +36,10 @@
         The settings of these names, seconds.
     memory_mb, max_descriptors : float, int
         The settings of these names; 0 for no limit.
+    has_status : bool
+        Whether each gateway serves its status and metrics, on a port of its own.
+    changes : mapping of str to object or None
+        Further settings by name, the same for all gateways.
     """
 
     __slots__ = ("directory", "processes", "settings", "site")
@@ -47,6 +55,8 @@
         grace_s: float = 4.0,
         memory_mb: float = 0.0,
         max_descriptors: int = 0,
+        has_status: bool = False,
+        changes: Mapping[str, Any] | None = None,
     ) -> None:
         self.site = site
         self.directory = directory
@@ -62,6 +72,10 @@
             settings.max_descriptors = max_descriptors
             settings.log_level = "info"
             settings.cpu_speed = cores[number] if number < len(cores) else 1.0
+            if has_status:
+                settings.metrics_port = next(site.ports)
+            for name, value in (changes or {}).items():
+                setattr(settings, name, value)
             self.settings.append(settings)
             self.processes.append(self.make_process(settings))
 
@@ -81,6 +95,25 @@
         """Addresses at which callers reach the gateways."""
         return [settings.listen for settings in self.settings]
 
+    def status_address(self, number: int) -> str:
+        """Return the address at which a gateway serves its status and metrics."""
+        return f"127.0.0.1:{self.settings[number].metrics_port}"
+
+    def status(self, number: int) -> dict[str, Any]:
+        """Return what ``/v1/status`` of a gateway reports.
+
+        Raises
+        ------
+        CallError
+            If the gateway does not answer in time.
+        """
+        connection = HttpConnection(address=self.status_address(number))
+        try:
+            reply = connection.call("GET", "/v1/status", None, timeout_s=STATUS_TIMEOUT_S)
+            return json.loads(reply.body)
+        finally:
+            connection.close()
+
     def make_process(self, settings: GatewaySettings) -> ManagedProcess:
         """Write the settings of a gateway and return its process, not yet started."""
         path = self.directory / f"{settings.name}.json"
--- a/src/rhubarbway_standins/soak/testbed.py
+++ b/src/rhubarbway_standins/soak/testbed.py
@@ -100,7 +100,7 @@
         self.published_at: dict[int, float] = {}
         self.stop_exit_codes: list[tuple[int, int]] = []
         self.gateways = GatewayProcesses(
-            site=self.site, directory=directory, count=hosts, cores=cores
+            site=self.site, directory=directory, count=hosts, cores=cores, has_status=True
         )
         routes = [
             self.make_proxy_route(self.server_route_name(n), r.address)
@@ -117,7 +117,6 @@
             seed=seed, hosts=hosts, cores=sorted(os.sched_getaffinity(0))
         )
         for number, settings in enumerate(self.gateways.settings):
-            settings.metrics_port = next(self.ports)
             settings.store = self.proxy.route_proxies[self.store_route_name(number)].route.listen
             self.gateways.processes[number] = self.gateways.make_process(settings)
 
