Keep time limits out of the tests of the forwarder's invariants

The test of an answer that claims more shards than it has failed once beside heavy load. Cause: its route has a target of 0.1 s, and a request with less than about 0.02 s left is refused before the check is reached. A pause of 0.09 s between the construction of the scenario and its run gives that result (503 in 8 of 8 pauses from 0.09 to 1.01 s); so does one of 0.2 s in an answer.

The routes and deadlines of these tests now are a minute long; the checks are the same.

--- a/src/rhubarbway/services/tests/test_invariants.py
+++ b/src/rhubarbway/services/tests/test_invariants.py
@@ -28,6 +28,20 @@
     return RoutingTable(version=version, routes=(), max_connections={}, limits=limits)
 
 
+# Longer than any pause of the process in a test, seconds.
+PATIENCE_S = 60.0
+
+
+def patient_route(**changes):
+    """Return a route whose time limits have no part in a test."""
+    return route_of(target_s=PATIENCE_S, timeout_s=PATIENCE_S, **changes)
+
+
+def patient_scenario(**fields):
+    """Return a scenario whose deadline has no part in a test."""
+    return Scenario(deadline_s=PATIENCE_S, **fields)
+
+
 class RecordingLog:
     """A log that keeps the details of its error lines."""
 
@@ -94,16 +108,16 @@
         """Guards against a check that misses a retry of a request that may already have run."""
         monkeypatch.setattr(RequestForwarder, "may_retry", lambda *_: True)
         pools = {"board": pools_of("board", loses, answers)}
-        scenario = Scenario(route=route_of(idempotent=False), pools=pools)
+        scenario = patient_scenario(route=patient_route(idempotent=False), pools=pools)
         assert self.broken_by(scenario) == "unsafe_request_sent_again"
 
     def test_more_attempts_than_the_route_allows_are_detected(self):
         """Guards against a check that misses an attempt beyond the maximum of the route."""
         pools = {"board": pools_of("board", loses, answers)}
-        scenario = Scenario(route=route_of(max_attempts=2), pools=pools)
+        scenario = patient_scenario(route=patient_route(max_attempts=2), pools=pools)
         plan = ArrivalPlan(chosen={"board": pools["board"][0]})
         scenario.forwarder.send_first_attempts(plan)
-        scenario.forwarder.route = route_of(max_attempts=1)
+        scenario.forwarder.route = patient_route(max_attempts=1)
         (shard,) = scenario.forwarder.shards.values()
         with pytest.raises(BrokenInvariant, match="too_many_attempts"):
             scenario.forwarder.send_attempt(shard, pools["board"][1])
@@ -112,14 +126,15 @@
         """Guards against a check that misses a pool listed under the wrong service."""
         pools = {"board": pools_of("desk", answers)}
         assert (
-            self.broken_by(Scenario(route=route_of(), pools=pools)) == "server_of_another_service"
+            self.broken_by(patient_scenario(route=patient_route(), pools=pools))
+            == "server_of_another_service"
         )
 
     def test_extra_attempts_that_the_budget_does_not_allow_are_detected(self, monkeypatch):
         """Guards against a check that relies on the counts of a faulty retry budget."""
         monkeypatch.setattr(SlidingWindowBudget, "try_acquire", lambda *_, **__: True)
         pools = {"board": pools_of("board", loses, answers)}
-        scenario = Scenario(route=route_of(), pools=pools, allowance=0.0)
+        scenario = patient_scenario(route=patient_route(), pools=pools, allowance=0.0)
         assert self.broken_by(scenario) == "share_of_further_attempts"
 
     def test_an_answer_that_claims_more_shards_than_it_has_is_detected(self, monkeypatch):
@@ -131,5 +146,5 @@
         monkeypatch.setattr(request_forwarder, "merge_replies", claims_all)
         shards = tuple("abcd")
         pools = {name: pools_of(name, answers) for name in "abc"} | {"d": pools_of("d", loses)}
-        scenario = Scenario(route=route_of(shards=shards, max_attempts=1), pools=pools)
+        scenario = patient_scenario(route=patient_route(shards=shards, max_attempts=1), pools=pools)
         assert self.broken_by(scenario) == "coverage_of_an_answer"
--- a/src/rhubarbway/services/tests/test_request_forwarder.py
+++ b/src/rhubarbway/services/tests/test_request_forwarder.py
@@ -99,14 +99,22 @@
     return outcome_of(pool, attempt, ExchangeEnd.CONNECT_FAILED, ExecutionStatus.NOT_RUN)
 
 
-def route_of(*, shards=(), idempotent=True, max_attempts=2, min_coverage=0.75):
+def route_of(
+    *,
+    shards=(),
+    idempotent=True,
+    max_attempts=2,
+    min_coverage=0.75,
+    target_s=TARGET_S,
+    timeout_s=0.6,
+):
     return Route(
         name="r",
         host="h",
         path_prefix="/",
         idempotent=idempotent,
-        timeout_s=0.6,
-        target_latency_s=TARGET_S,
+        timeout_s=timeout_s,
+        target_latency_s=target_s,
         max_attempts=max_attempts,
         split=() if shards else (SplitPart(service="board", weight=1.0),),
         shards=shards,
@@ -118,7 +126,7 @@
 class Scenario:
     """A request whose forwarder sends to fake pools; ``pools`` maps services to their pools."""
 
-    def __init__(self, *, route, pools, allowance=50.0, seed=1):
+    def __init__(self, *, route, pools, allowance=50.0, seed=1, deadline_s=1.0):
         now = time.monotonic()
         self.pools = pools
         self.budget = SharedRetryBudget(
@@ -139,7 +147,12 @@
             log=component_logger("test"),
         )
         request = ForwardedRequest(
-            request_id="q", method="GET", target="/x", host="h", received_at=now, deadline=now + 1
+            request_id="q",
+            method="GET",
+            target="/x",
+            host="h",
+            received_at=now,
+            deadline=now + deadline_s,
         )
         self.forwarder = RequestForwarder(
             request=request,
