Write server entries of a measurement with the stand-ins' codec

proofs/measurements/evacuation_cost.py spelled the platform's field names a second time. It runs and prints its four lines of times as before.

--- a/proofs/measurements/evacuation_cost.py
+++ b/proofs/measurements/evacuation_cost.py
@@ -8,12 +8,11 @@
 
 import time
 
-import msgspec
-
 from rhubarbway.model import StoreItem
 from rhubarbway.services.registry import RegistryService
 from rhubarbway.services.server_pool import ServerCodec
 from rhubarbway.services.servers import ServerService
+from rhubarbway_standins.platform.entries import server_entry, server_key
 
 SERVER_COUNTS = (1_000, 4_000, 16_000, 44_000)
 ZONES = 12
@@ -26,19 +25,15 @@
 
 def entry(number: int) -> StoreItem:
     """Return the entry of a server."""
-    value = {
-        "service": f"s{number // SERVERS_PER_SERVICE}",
-        "address": f"10.{number % 5}.{number // 250 % 250}.{number % 250}:80",
-        "zone": f"zone-{number % ZONES}",
-        "slots": 3,
-        "state": "ready",
-        "version": "1",
-        "sequence": 1,
-        "warmupLeftMs": 0,
-        "born": 7,
-    }
-    key = f"servers/i-{number:010x}"
-    return StoreItem(key=key, value=msgspec.json.encode(value), revision=number + 1)
+    value = server_entry(
+        service=f"s{number // SERVERS_PER_SERVICE}",
+        address=f"10.{number % 5}.{number // 250 % 250}.{number % 250}:80",
+        zone=f"zone-{number % ZONES}",
+        born_ms=7,
+        sequence=1,
+    )
+    key = server_key(f"i-{number:010x}")
+    return StoreItem(key=key, value=value, revision=number + 1)
 
 
 def measure(server_count: int) -> list[float]:
