--- a/proofs/test_soak.py
+++ b/proofs/test_soak.py
@@ -35,5 +35,5 @@
         """Guards against an invariant that overlapping faults or bursts break, as described in
         ``SEEDS`` and ``LOAD_SEEDS``."""
         result = run_soak(seed=seed, duration_s=duration_s, hosts=HOSTS)
-        assert result.problems == []
+        assert result.problems == [], result.pause_line
         assert result.requests
--- a/src/rhubarbway_standins/soak/main.py
+++ b/src/rhubarbway_standins/soak/main.py
@@ -40,6 +40,8 @@
         )
         for problem in result.problems:
             typer.echo(f"  {problem}")
+        if result.problems:
+            typer.echo(f"  {result.pause_line}")
         if report is not None:
             report.mkdir(parents=True, exist_ok=True)
             write_report(result, report / f"soak-{seed}.png")
--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -19,6 +19,7 @@
 from rhubarbway_standins.soak.callers import Caller, CallerRequest
 from rhubarbway_standins.soak.checks import RunRecord, broken_invariant_lines, find_problems
 from rhubarbway_standins.soak.faults import FAULTS, EndFault
+from rhubarbway_standins.soak.pauses import Pause, describe_pauses, record_pauses
 from rhubarbway_standins.soak.plan import (
     SHARDS,
     SHARDS_ON_SHARED_CORES,
@@ -47,10 +48,14 @@
 
 
 class SoakResult:
-    """Result of one run; the times of ``faults`` are relative to ``started_at``."""
+    """Result of one run; the times of ``faults`` are relative to ``started_at``.
+
+    ``pauses`` are those of the process of the soak, which make answers seem late.
+    """
 
     __slots__ = (
         "faults",
+        "pauses",
         "problems",
         "requests",
         "seed",
@@ -65,12 +70,19 @@
         faults: list[PlannedFault],
         requests: list[CallerRequest],
         problems: list[str],
+        pauses: list[Pause],
     ) -> None:
         self.seed = seed
         self.started_at = started_at
         self.faults = faults
         self.requests = requests
         self.problems = problems
+        self.pauses = pauses
+
+    @property
+    def pause_line(self) -> str:
+        """Description of the pauses."""
+        return describe_pauses(self.pauses, started_at=self.started_at)
 
     @property
     def served_share(self) -> float:
@@ -85,6 +97,7 @@
         "callers",
         "duration_s",
         "faults",
+        "pauses",
         "problems",
         "seed",
         "started_at",
@@ -99,6 +112,7 @@
         self.started_at = 0.0
         self.stopping = threading.Event()
         self.problems: list[str] = []
+        self.pauses: list[Pause] = []
         hosts = len(testbed.gateways.addresses)
         self.faults = plan_run(
             seed=seed,
@@ -121,18 +135,14 @@
     def run(self, *, progress: Callable[[str], None]) -> SoakResult:
         """Run callers and faults, and return the result."""
         started_at = self.started_at = time.monotonic()
-        with ThreadPoolExecutor(len(self.callers) + len(self.faults) + 2) as executor:
-            tasks = [executor.submit(caller.run) for caller in self.callers]
-            tasks += [executor.submit(self.inject, fault, started_at) for fault in self.faults]
-            end = started_at + self.duration_s
-            while (left := end - time.monotonic()) > 0.0:
-                time.sleep(min(CHECK_INTERVAL_S, left))
-                self.check_so_far()
-                progress(f"{len(self.requests())} requests, {len(self.problems)} problems")
-            self.stopping.set()
-            for task in tasks:
-                task.result()
-        self.check_recovery()
+        ended = threading.Event()
+        with ThreadPoolExecutor(1) as recorder:
+            recorder.submit(record_pauses, self.pauses, stopping=ended)
+            try:
+                self.run_under_faults(progress=progress)
+                self.check_recovery()
+            finally:
+                ended.set()
         self.check_so_far()
         self.problems += [
             f"host {host} logged a broken invariant: {line}"
@@ -151,8 +161,24 @@
             faults=self.faults,
             requests=self.requests(),
             problems=self.problems,
+            pauses=self.pauses,
         )
 
+    def run_under_faults(self, *, progress: Callable[[str], None]) -> None:
+        """Run callers and faults for the duration of the run, with checks all the while."""
+        started_at = self.started_at
+        with ThreadPoolExecutor(len(self.callers) + len(self.faults) + 2) as executor:
+            tasks = [executor.submit(caller.run) for caller in self.callers]
+            tasks += [executor.submit(self.inject, fault, started_at) for fault in self.faults]
+            end = started_at + self.duration_s
+            while (left := end - time.monotonic()) > 0.0:
+                time.sleep(min(CHECK_INTERVAL_S, left))
+                self.check_so_far()
+                progress(f"{len(self.requests())} requests, {len(self.problems)} problems")
+            self.stopping.set()
+            for task in tasks:
+                task.result()
+
     def requests(self) -> list[CallerRequest]:
         """Return the requests of all callers, including those in flight."""
         return [request for caller in self.callers for request in list(caller.requests)]
