--- a/src/rhubarbway_standins/soak/run.py
+++ b/src/rhubarbway_standins/soak/run.py
@@ -11,6 +11,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from rhubarbway.edge.http_call import CallError
 from rhubarbway.edge.http_client import HttpConnection
 from rhubarbway.edge.json_codec import decode_json
 from rhubarbway.services.gateway_status import STATUS_PATH
@@ -244,8 +245,14 @@
         ]
 
     def has_recovered(self, host: int) -> bool:
-        """Whether a host serves the newest configuration and evacuates no zone."""
-        return self.serves_newest_version(host) and not self.evacuated_zones(host)
+        """Whether a host serves the newest configuration and evacuates no zone.
+
+        One that does not report its status in time is asked again until ``MAX_RECOVERY_S``.
+        """
+        try:
+            return self.serves_newest_version(host) and not self.evacuated_zones(host)
+        except CallError:
+            return False
 
     def evacuated_zones(self, host: int) -> list[str]:
         """Return the zones that a host considers evacuated."""
