Ask unknown seeds for changes while the copy of the store is stale

Cause: a host asks a seed again every 5 s, but not while its copy is stale; it then asks only hosts that it knows. Two hosts that had started before their seed knew only each other, so none of their exchanges could help, and none failed.

A stale host now picks from the hosts that it knows and the seeds that it does not know. The new test fails without the change. The older one, which names the hosts that are asked, has a known host as its seed, so that its check stays as strict.

--- a/src/rhubarbway/decisions/fleet_view.py
+++ b/src/rhubarbway/decisions/fleet_view.py
@@ -204,9 +204,13 @@
         chosen = spread_over_zones(ranked, count)
         return self.own.address in [host.name for host in chosen]
 
-    def random_member(self, random: Random) -> str | None:
-        """Return the address of any other host that does not leave, None without one."""
+    def random_member(self, random: Random, *, seeds: Collection[str] = ()) -> str | None:
+        """Return the address of any other host that does not leave, None without one.
+
+        Seeds that are not known as hosts are among those to choose from.
+        """
         addresses = [member.address for member in self.members.values() if not member.leaving]
+        addresses += [seed for seed in seeds if seed not in self.members]
         return random.choice(addresses) if addresses else None
 
     def followed_hosts(self, *, now: float) -> list[str]:
--- a/src/rhubarbway/services/fleet.py
+++ b/src/rhubarbway/services/fleet.py
@@ -61,7 +61,7 @@
 # the rest.
 REJOIN_INTERVAL_S = 5.0
 # The same interval while the copy of the store is stale, seconds. The host then asks any other host
-# for changes, since those that it follows have none.
+# or seed for changes, since those that it follows have none.
 STALE_REJOIN_INTERVAL_S = 0.5
 # Delay after a failed poll, and while there is no host to follow, seconds.
 RETRY_DELAY_S = 0.3
@@ -397,9 +397,12 @@
             self.query_once(seed, members_only=self.registry.complete)
 
     def query_any_host(self) -> None:
-        """Query a random host without waiting, for changes that the followed hosts do not have."""
+        """Query a random host without waiting, for changes that the followed hosts do not have.
+
+        It may be a seed that this host does not know: all known hosts may be cut off from the rest.
+        """
         with self.lock:
-            address = self.view.random_member(self.random)
+            address = self.view.random_member(self.random, seeds=self.seeds)
         if address is not None:
             self.query_once(address, members_only=False)
 
--- a/src/rhubarbway/services/tests/test_fleet.py
+++ b/src/rhubarbway/services/tests/test_fleet.py
@@ -151,6 +151,7 @@
         monkeypatch.setattr(FleetService, "poll_feed", poll_feed)
         monkeypatch.setattr(module, "STALE_REJOIN_INTERVAL_S", 0.05)
         fleet.registry.stale = True
+        fleet.set_seeds(["10.0.0.2:1"])
         for number in (2, 3):
             fleet.view.merge(feed_wire.member_from_wire(wire_member(number), now=time.monotonic()))
         task = Thread(target=fleet.follow, args=(0,))
@@ -166,6 +167,40 @@
             for address, members_only in asked
         )
 
+    def test_a_host_with_a_stale_copy_also_asks_a_seed_that_it_does_not_know(
+        self, fleet, monkeypatch
+    ):
+        """Guards against hosts that know only each other and stay cut off from one that reaches
+        the store, since their seed had not started yet when they did.
+        """
+        asked = []
+
+        def poll_feed(self, connection, *, source, after, wait_s=1.0, members_only=False, **_):
+            asked.append((connection.address, members_only))
+            time.sleep(0.01)
+            return feed_wire.FeedReply(
+                sender=wire_member(2),
+                after=1,
+                revision=1,
+                whole=False,
+                complete=True,
+                items=[],
+                members=[],
+            )
+
+        monkeypatch.setattr(FleetService, "poll_feed", poll_feed)
+        monkeypatch.setattr(module, "STALE_REJOIN_INTERVAL_S", 0.02)
+        fleet.registry.stale = True
+        fleet.view.merge(feed_wire.member_from_wire(wire_member(2), now=time.monotonic()))
+        task = Thread(target=fleet.follow, args=(0,))
+        task.start()
+        end = time.monotonic() + TIMEOUT_S
+        while ("10.0.0.9:1", False) not in asked and time.monotonic() < end:
+            time.sleep(0.01)
+        fleet.stopping.set()
+        task.join()
+        assert ("10.0.0.9:1", False) in asked
+
 
 class TestMembersForFollowed:
     def send_request(self, fleet, *members):
